--- /dev/null
+++ b/src/limpetlanding/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Agent role: coordinator and executor on a worker."""
--- /dev/null
+++ b/src/limpetlanding/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Bench and demo."""
--- /dev/null
+++ b/src/limpetlanding/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/src/limpetlanding/config/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated configuration of a process."""
--- /dev/null
+++ b/src/limpetlanding/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""Contracts of customers and their publication."""
--- /dev/null
+++ b/src/limpetlanding/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry role: HTTP for callers, admission and placement."""
--- /dev/null
+++ b/src/limpetlanding/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Life cycle shared by processes, endpoints and peers."""
--- /dev/null
+++ b/src/limpetlanding/logservice/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's append-only log."""
--- /dev/null
+++ b/src/limpetlanding/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Known entries and agents."""
--- /dev/null
+++ b/src/limpetlanding/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the dispatcher as pure functions and small state."""
--- /dev/null
+++ b/src/limpetlanding/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a process."""
--- /dev/null
+++ b/src/limpetlanding/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, for demos and tests."""
--- /dev/null
+++ b/src/limpetlanding/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
