--- /dev/null
+++ b/src/limpetlanding/bench/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the bench: ``python -m limpetlanding.bench``."""
+
+from limpetlanding.bench.main import main
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/limpetlanding/bench/deployments.py
@@ -0,0 +1,63 @@
+"""The two deployments of today, as the bench starts them."""
+
+from dataclasses import dataclass
+
+ENDPOINTS = 11
+ENTRIES = 3
+SLOTS = 8
+CONNECTIONS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """Shape and delays of one deployment.
+
+    Parameters
+    ----------
+    crossing_ms : float
+        One-way delay between failure domains, in milliseconds.
+    caller_ms : float
+        One-way delay between a caller and an entry, in milliseconds.
+    kinds : tuple of str
+        Kinds of short tasks; ``long_kind`` takes several seconds.
+    """
+
+    name: str
+    region: str
+    failure_domains: tuple[str, str, str]
+    crossing_ms: float
+    caller_ms: float
+    customers: tuple[str, ...]
+    kinds: tuple[str, ...]
+    long_kind: str
+
+    def failure_domain(self, number: int) -> str:
+        """Return the failure domain of the host with this number."""
+        return self.failure_domains[number % len(self.failure_domains)]
+
+    def all_kinds(self) -> tuple[str, ...]:
+        """Return the kinds of short and long tasks."""
+        return (*self.kinds, self.long_kind)
+
+
+OFFCUT = Deployment(
+    name='offcut',
+    region='punjab',
+    failure_domains=('sialkot', 'kasur', 'lahore'),
+    crossing_ms=1.5,
+    caller_ms=1,
+    customers=('workshops', 'traders', 'yard'),
+    kinds=('grade', 'quote', 'book'),
+    long_kind='inventory',
+)
+KULO = Deployment(
+    name='kulo',
+    region='gandaki',
+    failure_domains=('pokhara', 'syangja', 'tanahun'),
+    crossing_ms=1,
+    caller_ms=3,
+    customers=('offices', 'foremen', 'gates'),
+    kinds=('alert', 'crew', 'gate-check'),
+    long_kind='survey',
+)
+DEPLOYMENTS = {deployment.name: deployment for deployment in (OFFCUT, KULO)}
--- /dev/null
+++ b/src/limpetlanding/bench/main.py
@@ -0,0 +1,102 @@
+"""Command line of the bench."""
+
+import asyncio
+import json
+import sys
+
+import fire
+from rich.console import Console
+from rich.table import Table
+
+from limpetlanding.bench.deployments import DEPLOYMENTS
+from limpetlanding.bench.experiments import PLANS, POLICIES, measure
+from limpetlanding.bench.figures import Figures
+
+USAGE_EXIT = 2
+_COLUMNS = (
+    'experiment',
+    'policy',
+    'load',
+    'jobs',
+    'on_time_share',
+    'slowdown_p50',
+    'slowdown_p99',
+    'overhead_p50',
+    'overhead_p99',
+    'crest_on_time_per_s',
+    'capacity_per_s',
+    'short_wait_p99_ms',
+    'long_wait_p99_ms',
+    'messages_per_task',
+    'wasted_messages_per_task',
+    'refused_share',
+    'double_starts',
+    'partial_answers',
+    'false_not_run',
+    'lost',
+)
+
+
+def bench(
+    experiment: str,
+    deployment: str = 'offcut',
+    seed: int = 1,
+    seconds: float = 20,
+    json: bool = False,
+    policy: str = 'both',
+) -> None:
+    """Measure both policies on the same arrivals.
+
+    Parameters
+    ----------
+    experiment : str
+        ``steady``, ``crest``, ``head-of-line``, ``faults`` or ``overhead``.
+    deployment : str
+        ``offcut`` or ``kulo``.
+    seconds : float
+        How long jobs are offered, for each load and policy.
+    json : bool
+        Print one JSON object a line.
+    policy : str
+        ``both``, ``limpetlanding`` or ``naive``.
+    """
+    if deployment not in DEPLOYMENTS:
+        _usage(f'deployment is one of {", ".join(DEPLOYMENTS)}')
+    if experiment not in PLANS:
+        _usage(f'experiment is one of {", ".join(PLANS)}')
+    policies = POLICIES if policy == 'both' else (policy,)
+    plans = PLANS[experiment](DEPLOYMENTS[deployment], seed, seconds)
+    lines = []
+    for plan in plans:
+        for name in policies:
+            figures = asyncio.run(measure(plan, name))
+            lines.append(figures)
+            if json:
+                _print_json(figures)
+    if not json:
+        _print_table(lines)
+
+
+def main() -> None:
+    """Run the bench from its command line."""
+    fire.Fire(bench, name='bench')
+
+
+def _print_json(figures: Figures) -> None:
+    print(json.dumps(figures.as_dict()), flush=True)
+
+
+def _print_table(lines: list[Figures]) -> None:
+    table = Table(title='Bench')
+    table.add_column('figure')
+    for figures in lines:
+        table.add_column(f'{figures.policy}\nload {figures.load}')
+    rows = [figures.as_dict() for figures in lines]
+    for name in _COLUMNS:
+        table.add_row(name, *(str(row[name]) for row in rows))
+    Console().print(table)
+
+
+def _usage(message: str) -> None:
+    print(message, file=sys.stderr)
+    sys.exit(USAGE_EXIT)
