Add the internal protocol: codec, links, channels and nodes

Requests, notifications, heartbeats, redialing and error replies work in both directions over one link.

--- a/src/limpetlanding/wire/__init__.py
+++ b/src/limpetlanding/wire/__init__.py
@@ -1,5 +1,8 @@
 """Internal protocol: messages, codec and channels between processes."""
 
+from limpetlanding.wire.channel import Channel, RemoteError
+from limpetlanding.wire.codec import MAX_FRAME_BYTES
+from limpetlanding.wire.counters import Counters, Traffic
 from limpetlanding.wire.messages import (
     MESSAGE_TYPES,
     PROTOCOL_VERSION,
@@ -11,6 +14,7 @@
     CoordinatorMoved,
     EndpointLoad,
     EntryInfo,
+    ErrorReply,
     Handover,
     Heartbeat,
     Hello,
@@ -38,18 +42,24 @@
     TaskResult,
     TaskSpec,
 )
+from limpetlanding.wire.node import Node
+from limpetlanding.wire.options import NodeOptions, Timing
 
 __all__ = (
+    'MAX_FRAME_BYTES',
     'MESSAGE_TYPES',
     'PROTOCOL_VERSION',
     'Ack',
     'AllocateIds',
     'CancelJob',
+    'Channel',
     'ConfigRecords',
     'ConfigWanted',
     'CoordinatorMoved',
+    'Counters',
     'EndpointLoad',
     'EntryInfo',
+    'ErrorReply',
     'Handover',
     'Heartbeat',
     'Hello',
@@ -60,11 +70,14 @@
     'Located',
     'Members',
     'MoveTasks',
+    'Node',
+    'NodeOptions',
     'PlaceAgain',
     'Placement',
     'Placements',
     'QueryJob',
     'RefuseJob',
+    'RemoteError',
     'RevokeTasks',
     'Revoked',
     'RunTasks',
@@ -76,4 +89,6 @@
     'TaskReports',
     'TaskResult',
     'TaskSpec',
+    'Timing',
+    'Traffic',
 )
--- /dev/null
+++ b/src/limpetlanding/wire/channel.py
@@ -0,0 +1,285 @@
+"""Channel: all traffic with one peer incarnation, over successive links."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+from itertools import count
+from typing import Any
+
+from loguru import logger
+
+from limpetlanding.errors import (
+    LimpetlandingError,
+    PeerLost,
+    ProtocolError,
+    RequestTimeout,
+)
+from limpetlanding.wire.codec import Frame, FrameKind, tag_of
+from limpetlanding.wire.counters import Counters
+from limpetlanding.wire.link import Link
+from limpetlanding.wire.messages import Ack, ErrorReply, Heartbeat, Hello
+
+Handler = Callable[['Channel', Any], Awaitable[Any]]
+
+
+class RemoteError(LimpetlandingError):
+    """The peer's handler failed; step and peer are those of the failure."""
+
+
+@dataclass(slots=True)
+class _Pending:
+    message: Any
+    answer: asyncio.Future[Any]
+    created: float
+    link: Link | None = None
+
+
+class Channel:
+    """All traffic with one peer incarnation.
+
+    Parameters
+    ----------
+    peer : Hello
+        The peer's first frame.
+    own : Hello
+        The first frame of this node.
+    handler : callable
+        Called with the channel and each message; its result is the reply.
+    counters : Counters
+        Counters of the node.
+    suspect_s : float
+        Time without traffic after which the peer is suspect.
+    """
+
+    def __init__(
+        self,
+        peer: Hello,
+        own: Hello,
+        handler: Handler,
+        counters: Counters,
+        suspect_s: float,
+    ) -> None:
+        self.peer = peer
+        self.own = own
+        self.handler = handler
+        self.counters = counters
+        self.suspect_s = suspect_s
+        self.loop = asyncio.get_running_loop()
+        self.links: list[Link] = []
+        self.closed = asyncio.Event()
+        self.stopping = False
+        self.linked = asyncio.Event()
+        self.up = False
+        self.lost_link_at: float | None = None
+        self.on_heartbeat: Callable[[Channel, int], None] | None = None
+        self.pending: dict[int, _Pending] = {}
+        self.serving: dict[int, asyncio.Task[None]] = {}
+        self.notified: set[asyncio.Task[None]] = set()
+        self.numbers = count(1)
+
+    def __repr__(self) -> str:
+        return f'<Channel {self.peer.node} {self.peer.incarnation}>'
+
+    @property
+    def suspect(self) -> bool:
+        """Whether the peer has no link or has sent nothing for a while."""
+        if not self.links:
+            return True
+        heard = max(link.last_received for link in self.links)
+        return self.loop.time() - heard > self.suspect_s
+
+    async def request(self, message: Any, timeout_s: float) -> Any:
+        """Send a request and return the reply.
+
+        The request is repeated on the next link until it is answered. If it
+        has a field ``deadline_ms``, a repetition carries the time then left.
+
+        Raises
+        ------
+        PeerLost
+            If the peer's incarnation is gone.
+        RequestTimeout
+            If no reply arrives within `timeout_s`.
+        RemoteError
+            If the handler at the peer fails.
+        ProtocolError
+            If the message cannot be encoded.
+        """
+        step = tag_of(message)
+        if self.closed.is_set():
+            raise PeerLost('the peer is gone', step=step, peer=self.peer.node)
+        number = next(self.numbers)
+        answer = self.loop.create_future()
+        pending = _Pending(message, answer, self.loop.time())
+        self.pending[number] = pending
+        timer = self.loop.call_later(
+            timeout_s, _expire, answer, step, self.peer.node
+        )
+        try:
+            self._transmit(number, pending)
+            return await answer
+        finally:
+            timer.cancel()
+            self.pending.pop(number, None)
+
+    def notify(self, message: Any) -> None:
+        """Send a message without reply; it is dropped if there is no link.
+
+        Raises
+        ------
+        ProtocolError
+            If the message cannot be encoded.
+        """
+        link = self.links[-1] if self.links else None
+        if link is None or not link.send(FrameKind.NOTIFY, 0, message):
+            self.counters.events['notifications_dropped'] += 1
+
+    def attach(self, link: Link) -> None:
+        """Use `link` for what is sent from now on."""
+        self.links.append(link)
+        self.lost_link_at = None
+        self.linked.set()
+        self._repeat_unsent()
+
+    def detach(self, link: Link) -> None:
+        """Stop using a lost link; unanswered requests move to another."""
+        if link not in self.links:
+            return
+        self.links.remove(link)
+        for pending in self.pending.values():
+            if pending.link is link:
+                pending.link = None
+        if self.links:
+            self._repeat_unsent()
+        else:
+            self.linked.clear()
+            self.lost_link_at = self.loop.time()
+
+    def receive(self, link: Link, frame: Frame) -> None:
+        """Handle one frame that arrived on `link`."""
+        if frame.kind == FrameKind.REPLY:
+            self._receive_reply(frame)
+        elif frame.kind == FrameKind.REQUEST:
+            self._receive_request(frame)
+        elif isinstance(frame.message, Heartbeat):
+            if self.on_heartbeat is not None:
+                self.on_heartbeat(self, frame.message.config_digest)
+        else:
+            task = self.loop.create_task(self._serve_notification(frame))
+            self.notified.add(task)
+            task.add_done_callback(self.notified.discard)
+
+    def fail(self, detail: str) -> None:
+        """Close the channel; every unanswered request fails."""
+        if self.closed.is_set():
+            return
+        self.closed.set()
+        for link in self.links:
+            link.abort()
+        self.links.clear()
+        self.linked.clear()
+        for pending in self.pending.values():
+            if not pending.answer.done():
+                step = tag_of(pending.message)
+                pending.answer.set_exception(
+                    PeerLost(detail, step=step, peer=self.peer.node)
+                )
+
+    def _transmit(self, number: int, pending: _Pending) -> None:
+        for link in reversed(self.links):
+            message = _with_time_left(
+                pending.message, self.loop.time() - pending.created
+            )
+            if link.send(FrameKind.REQUEST, number, message):
+                pending.link = link
+                return
+
+    def _repeat_unsent(self) -> None:
+        for number, pending in list(self.pending.items()):
+            if pending.link is None and not pending.answer.done():
+                self.counters.events['requests_repeated'] += 1
+                self._transmit(number, pending)
+
+    def _receive_reply(self, frame: Frame) -> None:
+        pending = self.pending.pop(frame.number, None)
+        if pending is None or pending.answer.done():
+            self.counters.events['replies_dropped'] += 1
+        elif isinstance(frame.message, ErrorReply):
+            error = frame.message
+            pending.answer.set_exception(
+                RemoteError(error.detail, step=error.step, peer=error.peer)
+            )
+        else:
+            pending.answer.set_result(frame.message)
+
+    def _receive_request(self, frame: Frame) -> None:
+        number = frame.number
+        if number in self.serving:
+            # The reply to the first copy goes to the newest link.
+            self.counters.events['requests_joined'] += 1
+            return
+        task = self.loop.create_task(self._serve_request(frame))
+        self.serving[number] = task
+
+    async def _serve_request(self, frame: Frame) -> None:
+        try:
+            reply = await self._reply_to(frame)
+        finally:
+            self.serving.pop(frame.number, None)
+        try:
+            self._send_reply(frame.number, reply)
+        except ProtocolError as error:
+            self._send_reply(frame.number, self._error_reply(frame, error))
+
+    async def _reply_to(self, frame: Frame) -> Any:
+        if self.stopping:
+            return ErrorReply(frame.tag, self.own.node, 'the peer is stopping')
+        try:
+            return await self.handler(self, frame.message) or Ack()
+        except asyncio.CancelledError as error:
+            self._send_reply(frame.number, self._error_reply(frame, error))
+            raise
+        except LimpetlandingError as error:
+            return self._error_reply(frame, error)
+        except Exception as error:
+            self._log_failure(frame, error)
+            return self._error_reply(frame, error)
+
+    def _send_reply(self, number: int, reply: Any) -> None:
+        for link in reversed(self.links):
+            if link.send(FrameKind.REPLY, number, reply):
+                return
+        self.counters.events['replies_unsent'] += 1
+
+    async def _serve_notification(self, frame: Frame) -> None:
+        try:
+            await self.handler(self, frame.message)
+        except Exception as error:
+            self._log_failure(frame, error)
+
+    def _error_reply(self, frame: Frame, error: BaseException) -> ErrorReply:
+        if isinstance(error, LimpetlandingError):
+            peer = error.peer or self.own.node
+            return ErrorReply(error.step, peer, error.detail)
+        detail = f'{type(error).__name__}: {error}'
+        return ErrorReply(frame.tag, self.own.node, detail)
+
+    def _log_failure(self, frame: Frame, error: Exception) -> None:
+        self.counters.events['handler_failures'] += 1
+        logger.bind(step=frame.tag, peer=self.peer.node).opt(
+            exception=error
+        ).error('handler failed')
+
+
+def _expire(answer: asyncio.Future[Any], step: str, peer: str) -> None:
+    if not answer.done():
+        answer.set_exception(
+            RequestTimeout('no answer in time', step=step, peer=peer)
+        )
+
+
+def _with_time_left(message: Any, elapsed_s: float) -> Any:
+    if not elapsed_s or not hasattr(message, 'deadline_ms'):
+        return message
+    left_ms = max(0, message.deadline_ms - elapsed_s * 1000)
+    return replace(message, deadline_ms=left_ms)
--- a/src/limpetlanding/wire/messages.py
+++ b/src/limpetlanding/wire/messages.py
@@ -47,6 +47,16 @@
     config_digest: int = 0
 
 
+@message('error')
+@dataclass(slots=True)
+class ErrorReply:
+    """Reply to a request whose handler failed at the peer."""
+
+    step: str
+    peer: str
+    detail: str
+
+
 @message('alloc')
 @dataclass(slots=True)
 class AllocateIds:
--- /dev/null
+++ b/src/limpetlanding/wire/options.py
@@ -0,0 +1,72 @@
+"""Options of a node."""
+
+import ssl
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+
+@dataclass(slots=True)
+class Timing:
+    """Time limits of links and peers, in seconds.
+
+    Parameters
+    ----------
+    heartbeat_s : float
+        A heartbeat is sent after this time without another frame.
+    digest_s : float
+        A heartbeat is sent at least this often, even on a busy link,
+        because it carries the configuration digest.
+    silence_s : float
+        A link that has received nothing for this long is dropped.
+    suspect_s : float
+        A peer that has sent nothing for this long gets no new work.
+    down_s : float
+        A peer without any link for this long is reported as down. A peer
+        whose address refuses connections for this long is gone.
+    hello_s : float
+        Longest wait for a connection and the first frame.
+    redial_min_s, redial_max_s : float
+        Range of the back-off between attempts to connect.
+    forget_s : float
+        A peer that has been down for this long is forgotten.
+    drain_s : float
+        Longest wait for requests in progress when the node stops.
+    """
+
+    heartbeat_s: float = 0.5
+    digest_s: float = 2
+    silence_s: float = 1.5
+    suspect_s: float = 1
+    down_s: float = 4
+    hello_s: float = 1.5
+    redial_min_s: float = 0.05
+    redial_max_s: float = 1
+    forget_s: float = 600
+    drain_s: float = 10
+
+
+@dataclass(slots=True)
+class NodeOptions:
+    """Options of a `Node`.
+
+    Parameters
+    ----------
+    listen_host : str
+        Address to listen at; empty for the host in ``hello.address``.
+    timing : Timing
+        Time limits.
+    emulated_delay_ms : callable, optional
+        One-way delay between two failure domains, for the benchmark.
+    server_tls, client_tls : ssl.SSLContext, optional
+        Contexts for accepted and dialed connections.
+    rng : random.Random
+        Source of the jitter between attempts to connect.
+    """
+
+    listen_host: str = ''
+    timing: Timing = field(default_factory=Timing)
+    emulated_delay_ms: Callable[[str, str], float] | None = None
+    server_tls: ssl.SSLContext | None = None
+    client_tls: ssl.SSLContext | None = None
+    rng: Random = field(default_factory=Random)
