--- a/src/limpetlanding/cli/main.py
+++ b/src/limpetlanding/cli/main.py
@@ -1,8 +1,16 @@
 """Entry point of the ``limpetlanding`` command."""
 
+import asyncio
+import importlib
+import sys
+from typing import Any
+
 import fire
 
 from limpetlanding import __version__
+from limpetlanding.cli.exits import FAILURE
+from limpetlanding.errors import LimpetlandingError
+from limpetlanding.settings import DocumentError, Settings, load_settings
 
 
 def version() -> str:
@@ -10,6 +18,85 @@
     return __version__
 
 
+def entry(settings: str) -> None:
+    """Run an entry with the settings file SETTINGS."""
+    from limpetlanding.entry.role import run_entry
+
+    asyncio.run(run_entry(_settings_for('entry', settings)))
+
+
+def agent(settings: str) -> None:
+    """Run an agent with the settings file SETTINGS."""
+    from limpetlanding.agent.role import run_agent
+
+    asyncio.run(run_agent(_settings_for('agent', settings)))
+
+
+def check_settings(file: str) -> str:
+    """Check a settings file without starting anything."""
+    settings = load_settings(file)
+    return f'{file}: valid settings of {settings.role} {settings.node}'
+
+
+_VERBS = {
+    'version': version,
+    'entry': entry,
+    'agent': agent,
+    'check-settings': check_settings,
+}
+# Modules are imported only for the verb in use, since every import adds to
+# the start-up time of all others.
+_LAZY_VERBS = {
+    'submit': 'limpetlanding.cli.caller:submit',
+    'status-job': 'limpetlanding.cli.caller:status_job',
+    'cancel': 'limpetlanding.cli.caller:cancel',
+    'standin': 'limpetlanding.cli.standins:VERBS',
+}
+
+
+def verbs(first: str) -> dict[str, Any]:
+    """Return the verbs, with those in other modules that `first` needs.
+
+    Parameters
+    ----------
+    first : str
+        First argument of the command line; all verbs are imported if it
+        names none, because the help lists them.
+    """
+    if first in _VERBS:
+        return _VERBS
+    wanted = [first] if first in _LAZY_VERBS else _LAZY_VERBS
+    return _VERBS | {name: _load(_LAZY_VERBS[name]) for name in wanted}
+
+
 def main() -> None:
-    """Run the command line."""
-    fire.Fire({'version': version}, name='limpetlanding')
+    """Run the command line.
+
+    Exit codes: 0 success, 1 failure, 2 wrong usage, 3 lost race,
+    4 unknown result.
+    """
+    first = sys.argv[1] if len(sys.argv) > 1 else ''
+    try:
+        fire.Fire(verbs(first), name='limpetlanding')
+    except DocumentError as error:
+        print(*error.problems, sep='\n', file=sys.stderr)
+        sys.exit(FAILURE)
+    except LimpetlandingError as error:
+        print(error, file=sys.stderr)
+        sys.exit(FAILURE)
+
+
+def _load(target: str) -> Any:
+    module, _, name = target.partition(':')
+    return getattr(importlib.import_module(module), name)
+
+
+def _settings_for(role: str, path: str) -> Settings:
+    settings = load_settings(path)
+    if settings.role != role:
+        raise LimpetlandingError(
+            f'the settings are of an {settings.role}, not of an {role}',
+            step='read settings',
+            peer=path,
+        )
+    return settings
