Add the log client, the log stand-in and the publisher

Cause: operators publish contracts through the platform's log, which has outages and may lose the answer to a write that took effect. Change: a client with time-outs that replaces its connections after a silence, backs off with jitter and passes over records that no reader can hold; a stand-in with retention, a limit of appends and fault switches; a publisher that settles a lost answer by reading back and repeats an append under the same id. Conclusion: in the tests a lost answer, a write that arrives after the read back and an hour of outage each give one version.

--- a/src/limpetlanding/contracts/__init__.py
+++ b/src/limpetlanding/contracts/__init__.py
@@ -19,6 +19,18 @@
     load_contract,
     parse_contract,
 )
+from limpetlanding.contracts.publish import (
+    Publication,
+    Published,
+    Result,
+    VersionUnknown,
+    publish,
+)
+from limpetlanding.contracts.reading import (
+    apply_records,
+    read_page,
+    read_to_end,
+)
 from limpetlanding.contracts.record import (
     NOTHING_READ,
     InvalidRecord,
@@ -42,9 +54,14 @@
     'InvalidRecord',
     'Ledger',
     'Limits',
+    'Publication',
+    'Published',
     'Record',
     'RecordKind',
+    'Result',
     'Verdict',
+    'VersionUnknown',
+    'apply_records',
     'canonical',
     'check_contract',
     'diff',
@@ -53,5 +70,8 @@
     'new_key',
     'parse_contract',
     'parse_record',
+    'publish',
+    'read_page',
+    'read_to_end',
     'restatement_id',
 )
--- /dev/null
+++ b/src/limpetlanding/contracts/tests/test_publish.py
@@ -0,0 +1,177 @@
+import asyncio
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from limpetlanding.contracts import (
+    Contract,
+    Ledger,
+    Publication,
+    Result,
+    VersionUnknown,
+    hash_key,
+    read_to_end,
+)
+from limpetlanding.logservice import LogClient, LogUnavailable
+
+URL = 'http://127.0.0.1:7400'
+
+
+def contract(at_once=8, customer='apples', key='k'):
+    return Contract.model_validate(
+        {
+            'customer': customer,
+            'keys': [hash_key(key)],
+            'limits': {'tasks_at_once': at_once, 'tasks_per_second': 100},
+            'answer_within_ms': 500,
+            'may_refuse': ['overload'],
+            'kinds': ['*'],
+            'peak_share': 0.5,
+            'max_task_size': 10,
+        }
+    )
+
+
+@pytest.fixture
+async def log():
+    async with LogClient(URL, 'contracts', 500, Random(1)) as client:
+        yield client
+
+
+@pytest.fixture
+def publish(log):
+    async def run(content, author='ana', base=None, timeout_s=60, **options):
+        publication = Publication(
+            log, content, author, base, wall=lambda: 1.0, **options
+        )
+        return await publication.run(timeout_s)
+
+    return run
+
+
+def break_log(log, **faults):
+    log.faults = replace(log.faults, **faults)
+
+
+async def versions(log):
+    ledger = Ledger()
+    async for _ in read_to_end(log, ledger):
+        pass
+    return {name: s.version for name, s in ledger.customers.items()}
+
+
+class TestPublication:
+    async def test_accepted(self, standin_log, publish):
+        first = await publish(contract())
+        second = await publish(contract(9), base=1)
+        assert (first.result, first.version) == (Result.ACCEPTED, 1)
+        assert (second.result, second.version) == (Result.ACCEPTED, 2)
+
+    async def test_unchanged_contract_is_not_appended(
+        self, standin_log, publish
+    ):
+        await publish(contract())
+        again = await publish(contract())
+        assert (again.result, again.version) == (Result.ACCEPTED, 1)
+        assert standin_log.streams['contracts'].next == 1
+
+    async def test_two_operators_racing(self, standin_log, publish):
+        break_log(standin_log, slow_ms=50)
+        one, two = await asyncio.gather(
+            publish(contract(9), 'ana'), publish(contract(7), 'ben')
+        )
+        results = {one.result: one, two.result: two}
+        assert set(results) == {Result.ACCEPTED, Result.LOST}
+        lost = results[Result.LOST]
+        assert {lost.winner} == {'ana', 'ben'} - {
+            'ana' if one is lost else 'ben'
+        }
+        assert [c.field for c in lost.changes] == ['limits.tasks_at_once']
+
+    async def test_outdated_base_is_lost_without_an_append(
+        self, standin_log, publish
+    ):
+        # Guards against an edit that undoes one it has not seen.
+        await publish(contract(1))
+        await publish(contract(2), 'ben')
+        lost = await publish(contract(3), base=1)
+        assert (lost.result, lost.winner) == (Result.LOST, 'ben')
+        assert standin_log.streams['contracts'].next == 2
+
+    async def test_answer_lost_after_the_append(
+        self, standin_log, publish, log
+    ):
+        # Guards against a second version for one publication.
+        break_log(standin_log, lose_answers=True)
+        published = await publish(contract())
+        assert (published.result, published.version) == (Result.ACCEPTED, 1)
+        assert await versions(log) == {'apples': 1}
+
+    async def test_write_that_takes_effect_after_the_read_back(
+        self, standin_log, publish, log
+    ):
+        # The append is slower than its time-out; both copies are written.
+        break_log(standin_log, slow_ms=450)
+        publishing = asyncio.create_task(publish(contract()))
+        await asyncio.sleep(0.46)
+        break_log(standin_log, slow_ms=700)
+        await asyncio.sleep(1.5)
+        break_log(standin_log, slow_ms=0)
+        assert (await publishing).version == 1
+        await asyncio.sleep(5)
+        assert await versions(log) == {'apples': 1}
+
+    async def test_log_out_for_long(self, standin_log, publish, log):
+        break_log(standin_log, outage=True)
+        with pytest.raises(LogUnavailable):
+            await publish(contract())
+        publishing = asyncio.create_task(publish(contract(), timeout_s=7200))
+        await asyncio.sleep(3600)
+        break_log(standin_log, outage=False)
+        assert (await publishing).result is Result.ACCEPTED
+        assert await versions(log) == {'apples': 1}
+
+    async def test_outage_after_the_append_is_unknown_and_can_be_resumed(
+        self, standin_log, publish, log
+    ):
+        def fail_after_sending(step):
+            break_log(standin_log, outage=step == 'reading back')
+
+        unknown = await publish(contract(), progress=fail_after_sending)
+        assert unknown.result is Result.UNKNOWN
+        break_log(standin_log, outage=False)
+        resumed = await publish(contract(), record_id=unknown.record_id)
+        assert (resumed.result, resumed.version) == (Result.ACCEPTED, 1)
+        assert standin_log.streams['contracts'].next == 1
+
+    async def test_throttled_append_is_repeated(self, standin_log, publish):
+        standin_log.appends_per_second = 1
+        await publish(contract())
+        assert (await publish(contract(2))).result is Result.ACCEPTED
+
+    async def test_key_of_another_customer_is_refused(
+        self, standin_log, publish
+    ):
+        await publish(contract())
+        other = await publish(contract(customer='beans'))
+        assert other.result is Result.INVALID
+        assert 'apples' in other.detail
+
+    async def test_version_uncertain_after_retention(
+        self, standin_log, publish
+    ):
+        # The log was out while the contract should have been restated.
+        await publish(contract(1))
+        await publish(contract(2))
+        stream = standin_log.streams['contracts']
+        when, text = stream.records.pop()
+        stream.records.append(
+            (when, text.replace(b'"as_of": 0', b'"as_of": -1'))
+        )
+        stream.records.popleft()
+        stream.first = 1
+        with pytest.raises(VersionUnknown):
+            await publish(contract(3))
+        stated = await publish(contract(3), base=2)
+        assert (stated.result, stated.version) == (Result.ACCEPTED, 3)
--- /dev/null
+++ b/src/limpetlanding/logservice/tests/test_client.py
@@ -0,0 +1,119 @@
+import asyncio
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from limpetlanding.logservice import (
+    LogClient,
+    LogRefused,
+    LogThrottled,
+    LogTruncated,
+    LogUnavailable,
+)
+
+URL = 'http://127.0.0.1:7400'
+
+
+@pytest.fixture
+async def client():
+    async with LogClient(URL, 'contracts', 500, Random(1)) as client:
+        yield client
+
+
+def break_log(log, **faults):
+    log.faults = replace(log.faults, **faults)
+
+
+def now():
+    return asyncio.get_running_loop().time()
+
+
+class TestLogClient:
+    async def test_append_and_pages(self, standin_log, client):
+        offsets = [await client.append(str(n), {'n': n}) for n in range(3)]
+        assert offsets == [0, 1, 2]
+        page = await client.read(1, limit=1)
+        assert [r.body for r in page.records] == [{'n': 1}]
+        assert (page.next, page.first) == (2, 0)
+
+    async def test_reader_waits_for_a_record(self, standin_log, client):
+        reading = asyncio.create_task(client.read(0, wait_ms=10_000))
+        await asyncio.sleep(3)
+        standin_log.append('contracts', {'n': 1})
+        assert len((await reading).records) == 1
+        assert now() < 3.1
+
+    async def test_retention_is_reported_with_the_first_offset(
+        self, standin_log, client
+    ):
+        standin_log.retention_s = 10
+        standin_log.append('contracts', {})
+        await asyncio.sleep(11)
+        standin_log.append('contracts', {})
+        with pytest.raises(LogTruncated) as caught:
+            await client.read(0)
+        assert caught.value.first == 1
+
+    async def test_outage_is_ridden_out(self, standin_log, client):
+        standin_log.append('contracts', {})
+        break_log(standin_log, outage=True)
+        reading = asyncio.create_task(client.read_next(0))
+        await asyncio.sleep(3600)
+        assert not reading.done()
+        break_log(standin_log, outage=False)
+        assert len((await reading).records) == 1
+        # The longest wait between attempts is 5 s.
+        assert now() < 3606
+
+    async def test_lost_answer_is_not_reported_as_unwritten(
+        self, standin_log, client
+    ):
+        break_log(standin_log, lose_answers=True)
+        with pytest.raises(LogUnavailable) as caught:
+            await client.append('a', {})
+        assert not isinstance(caught.value, LogThrottled)
+        assert standin_log.streams['contracts'].next == 1
+
+    async def test_silent_connection_is_replaced(self, standin_log, client):
+        # Guards against a pool that hands out a dead connection forever.
+        await client.append('a', {})
+        standin_log.silent = standin_log.transports
+        standin_log.transports = type(standin_log.silent)()
+        with pytest.raises(LogUnavailable):
+            await client.append('b', {})
+        assert await client.append('c', {}) == 1
+
+    async def test_slow_log_times_out(self, standin_log, client):
+        break_log(standin_log, slow_ms=60_000)
+        with pytest.raises(LogUnavailable):
+            await client.read(0)
+        assert now() < 0.6
+
+    async def test_too_many_appends(self, standin_log, client):
+        standin_log.appends_per_second = 2
+        await client.append('a', {})
+        await client.append('b', {})
+        with pytest.raises(LogThrottled):
+            await client.append('c', {})
+        await asyncio.sleep(1)
+        assert await client.append('c', {}) == 2
+
+    async def test_refused_record(self, standin_log, client):
+        with pytest.raises(LogRefused):
+            await client.append('a', {'x': 'y' * 2_000_000})
+
+    async def test_hostile_record_does_not_stop_the_reader(
+        self, standin_log, client
+    ):
+        # Guards against one record that no reader can decode.
+        stream = standin_log.streams
+        standin_log.append('contracts', {'n': 0})
+        standin_log.append('contracts', {})
+        standin_log.append('contracts', {'n': 2})
+        records = stream['contracts'].records
+        records[1] = (0, b'[' * 100_000 + b']' * 100_000)
+        bodies = []
+        async for page in client.pages(0):
+            bodies.extend(record.body for record in page.records)
+        assert bodies == [{'n': 0}, None, {'n': 2}]
