--- a/src/limpetlanding/lifecycle/__init__.py
+++ b/src/limpetlanding/lifecycle/__init__.py
@@ -1,1 +1,16 @@
 """Life cycle shared by processes, endpoints and peers."""
+
+from limpetlanding.lifecycle.machine import InvalidTransition, Lifecycle
+from limpetlanding.lifecycle.states import (
+    EndpointState,
+    PeerState,
+    ProcessState,
+)
+
+__all__ = (
+    'EndpointState',
+    'InvalidTransition',
+    'Lifecycle',
+    'PeerState',
+    'ProcessState',
+)
--- /dev/null
+++ b/src/limpetlanding/lifecycle/machine.py
@@ -0,0 +1,103 @@
+"""State machine with typed states."""
+
+from collections.abc import Callable
+from enum import StrEnum
+from functools import cache
+from typing import Any, Generic, TypeVar, cast
+
+from transitions import Machine, MachineError
+
+from limpetlanding.errors import LimpetlandingError
+from limpetlanding.lifecycle.states import SOURCES
+
+State = TypeVar('State', bound=StrEnum)
+
+
+class InvalidTransition(LimpetlandingError):
+    """The state cannot be reached from the present one."""
+
+
+class Lifecycle(Generic[State]):
+    """State of one process, endpoint or peer.
+
+    Creating one takes about 150 µs and a move about 25 µs, so it is not for
+    single tasks.
+
+    Parameters
+    ----------
+    states : type
+        `ProcessState`, `EndpointState` or `PeerState`.
+    name : str
+        Name of the process, endpoint or peer, for errors.
+    on_change : callable, optional
+        Called with the old and the new state after each change.
+
+    Examples
+    --------
+    >>> from limpetlanding.lifecycle.states import ProcessState
+    >>> lifecycle = Lifecycle(ProcessState, 'agent-1')
+    >>> lifecycle.move(ProcessState.READY)
+    True
+    >>> lifecycle.move(ProcessState.READY)
+    False
+    >>> lifecycle.state
+    <ProcessState.READY: 'ready'>
+    """
+
+    state: State
+
+    def __init__(
+        self,
+        states: type[State],
+        name: str,
+        on_change: Callable[[State, State], None] | None = None,
+    ) -> None:
+        self.states = states
+        self.name = name
+        self.on_change = on_change
+        _machine(states).add_model(self)
+
+    def move(self, target: State) -> bool:
+        """Go to a state; False if it is the present one.
+
+        Raises
+        ------
+        InvalidTransition
+            If `target` cannot be reached from the present state.
+        """
+        before = self.state
+        if before is target:
+            return False
+        try:
+            cast(Any, self).trigger(target.value)
+        except MachineError as error:
+            raise InvalidTransition(
+                f'cannot go from {before} to {target}',
+                step='lifecycle',
+                peer=self.name,
+            ) from error
+        if target is _last(self.states):
+            # The machine would otherwise keep every past peer alive.
+            _machine(self.states).remove_model(self)
+        if self.on_change is not None:
+            self.on_change(before, target)
+        return True
+
+
+def _last(states: type[StrEnum]) -> StrEnum:
+    return list(states)[-1]
+
+
+@cache
+def _machine(states: type[StrEnum]) -> Any:
+    moves = [
+        {'trigger': target.value, 'source': list(sources), 'dest': target}
+        for target, sources in SOURCES[states].items()
+    ]
+    return Machine(
+        model=None,
+        states=states,
+        transitions=moves,
+        initial=next(iter(states)),
+        auto_transitions=False,
+    )
