Handle silent links, restarts, slow readers and planned stops in wire

Change: the registry of peers and the dialers are modules of their own. Request numbers are unique per node. Requests and replies wait while more than 8 MiB are unsent, notifications are dropped. A link closes with an end of stream and waits for the peer to read everything. A request that cannot be decoded is answered with an error before the link is closed. Tests run on an in-memory network with faults, tests/faulty.py.

--- a/src/limpetlanding/wire/channel.py
+++ b/src/limpetlanding/wire/channel.py
@@ -1,9 +1,8 @@
 """Channel: all traffic with one peer incarnation, over successive links."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, replace
-from itertools import count
 from typing import Any
 
 from loguru import logger
@@ -14,6 +13,7 @@
     ProtocolError,
     RequestTimeout,
 )
+from limpetlanding.lifecycle import Lifecycle, PeerState
 from limpetlanding.wire.codec import Frame, FrameKind, tag_of
 from limpetlanding.wire.counters import Counters
 from limpetlanding.wire.link import Link
@@ -32,6 +32,7 @@
     answer: asyncio.Future[Any]
     created: float
     link: Link | None = None
+    sent: bool = False
 
 
 class Channel:
@@ -49,6 +50,9 @@
         Counters of the node.
     suspect_s : float
         Time without traffic after which the peer is suspect.
+    numbers : iterator of int
+        Request numbers, shared by all channels of the node so that a number
+        is never used twice towards the same incarnation of a peer.
     """
 
     def __init__(
@@ -58,6 +62,7 @@
         handler: Handler,
         counters: Counters,
         suspect_s: float,
+        numbers: Iterator[int],
     ) -> None:
         self.peer = peer
         self.own = own
@@ -68,14 +73,14 @@
         self.links: list[Link] = []
         self.closed = asyncio.Event()
         self.stopping = False
-        self.linked = asyncio.Event()
-        self.up = False
-        self.lost_link_at: float | None = None
+        self.unlinked = asyncio.Event()
+        self.lifecycle = Lifecycle(PeerState, peer.node)
+        self.link_lost_at: float | None = None
         self.on_heartbeat: Callable[[Channel, int], None] | None = None
         self.pending: dict[int, _Pending] = {}
         self.serving: dict[int, asyncio.Task[None]] = {}
         self.notified: set[asyncio.Task[None]] = set()
-        self.numbers = count(1)
+        self.numbers = numbers
 
     def __repr__(self) -> str:
         return f'<Channel {self.peer.node} {self.peer.incarnation}>'
@@ -137,9 +142,10 @@
     def attach(self, link: Link) -> None:
         """Use `link` for what is sent from now on."""
         self.links.append(link)
-        self.lost_link_at = None
-        self.linked.set()
-        self._repeat_unsent()
+        self.link_lost_at = None
+        self.unlinked.clear()
+        link.on_room = self._send_waiting
+        self._send_waiting()
 
     def detach(self, link: Link) -> None:
         """Stop using a lost link; unanswered requests move to another."""
@@ -150,20 +156,21 @@
             if pending.link is link:
                 pending.link = None
         if self.links:
-            self._repeat_unsent()
+            self._send_waiting()
         else:
-            self.linked.clear()
-            self.lost_link_at = self.loop.time()
+            self.unlinked.set()
+            self.link_lost_at = self.loop.time()
 
     def receive(self, link: Link, frame: Frame) -> None:
         """Handle one frame that arrived on `link`."""
+        if self.closed.is_set():
+            return
         if frame.kind == FrameKind.REPLY:
             self._receive_reply(frame)
         elif frame.kind == FrameKind.REQUEST:
             self._receive_request(frame)
         elif isinstance(frame.message, Heartbeat):
-            if self.on_heartbeat is not None:
-                self.on_heartbeat(self, frame.message.config_digest)
+            self._receive_heartbeat(frame.message)
         else:
             task = self.loop.create_task(self._serve_notification(frame))
             self.notified.add(task)
@@ -177,7 +184,7 @@
         for link in self.links:
             link.abort()
         self.links.clear()
-        self.linked.clear()
+        self.unlinked.set()
         for pending in self.pending.values():
             if not pending.answer.done():
                 step = tag_of(pending.message)
@@ -186,28 +193,38 @@
                 )
 
     def _transmit(self, number: int, pending: _Pending) -> None:
+        message = _with_time_left(
+            pending.message, self.loop.time() - pending.created
+        )
         for link in reversed(self.links):
-            message = _with_time_left(
-                pending.message, self.loop.time() - pending.created
-            )
             if link.send(FrameKind.REQUEST, number, message):
+                self.counters.events['requests_repeated'] += pending.sent
                 pending.link = link
+                pending.sent = True
                 return
 
-    def _repeat_unsent(self) -> None:
+    def _send_waiting(self) -> None:
         for number, pending in list(self.pending.items()):
             if pending.link is None and not pending.answer.done():
-                self.counters.events['requests_repeated'] += 1
                 self._transmit(number, pending)
 
+    def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
+        if self.on_heartbeat is None:
+            return
+        try:
+            self.on_heartbeat(self, heartbeat.config_digest)
+        except Exception as error:
+            self._log_failure('hb', error)
+
     def _receive_reply(self, frame: Frame) -> None:
         pending = self.pending.pop(frame.number, None)
         if pending is None or pending.answer.done():
             self.counters.events['replies_dropped'] += 1
         elif isinstance(frame.message, ErrorReply):
             error = frame.message
+            peer = error.peer or self.peer.node
             pending.answer.set_exception(
-                RemoteError(error.detail, step=error.step, peer=error.peer)
+                RemoteError(error.detail, step=error.step, peer=peer)
             )
         else:
             pending.answer.set_result(frame.message)
@@ -224,6 +241,8 @@
     async def _serve_request(self, frame: Frame) -> None:
         try:
             reply = await self._reply_to(frame)
+            if self.links:
+                await self.links[-1].wait_for_room()
         finally:
             self.serving.pop(frame.number, None)
         try:
@@ -242,7 +261,7 @@
         except LimpetlandingError as error:
             return self._error_reply(frame, error)
         except Exception as error:
-            self._log_failure(frame, error)
+            self._log_failure(frame.tag, error)
             return self._error_reply(frame, error)
 
     def _send_reply(self, number: int, reply: Any) -> None:
@@ -255,7 +274,7 @@
         try:
             await self.handler(self, frame.message)
         except Exception as error:
-            self._log_failure(frame, error)
+            self._log_failure(frame.tag, error)
 
     def _error_reply(self, frame: Frame, error: BaseException) -> ErrorReply:
         if isinstance(error, LimpetlandingError):
@@ -264,11 +283,11 @@
         detail = f'{type(error).__name__}: {error}'
         return ErrorReply(frame.tag, self.own.node, detail)
 
-    def _log_failure(self, frame: Frame, error: Exception) -> None:
+    def _log_failure(self, step: str, error: Exception) -> None:
         self.counters.events['handler_failures'] += 1
-        logger.bind(step=frame.tag, peer=self.peer.node).opt(
-            exception=error
-        ).error('handler failed')
+        logger.bind(step=step, peer=self.peer.node).opt(exception=error).error(
+            'handler failed'
+        )
 
 
 def _expire(answer: asyncio.Future[Any], step: str, peer: str) -> None:
--- a/src/limpetlanding/wire/codec.py
+++ b/src/limpetlanding/wire/codec.py
@@ -24,6 +24,28 @@
 Decoder = Callable[[Any], Any]
 
 
+class MalformedMessage(ProtocolError):
+    """The frame is well formed, but the message in it is not.
+
+    Parameters
+    ----------
+    detail : str
+        What is wrong.
+    kind : int
+        Kind of the frame.
+    number : int
+        Number of the request.
+    tag : str
+        Tag of the message.
+    """
+
+    def __init__(self, detail: str, kind: int, number: int, tag: str) -> None:
+        super().__init__(detail, step='decode')
+        self.kind = kind
+        self.number = number
+        self.tag = tag
+
+
 class FrameKind(IntEnum):
     """Part that a frame plays in an exchange."""
 
@@ -109,9 +131,10 @@
 
     Raises
     ------
+    MalformedMessage
+        If the tag, the number of fields or the type of a field is wrong.
     ProtocolError
-        If the body is not msgpack, or its structure, tag, number of fields
-        or field types are wrong.
+        If the body is not msgpack or not a frame.
     """
     try:
         kind, number, tag, values = msgpack.unpackb(body)[:_BODY_ITEMS]
@@ -121,9 +144,12 @@
         raise _malformed(f'unknown frame kind {kind!r}')
     if not _is_exactly(number, int) or number < 0:
         raise _malformed(f'invalid request number {number!r}')
-    if not isinstance(tag, str) or tag not in MESSAGE_TYPES:
-        raise _malformed(f'unknown message tag {tag!r}')
-    message = _decoder(MESSAGE_TYPES[tag])(values)
+    if not isinstance(tag, str):
+        raise _malformed(f'invalid message tag {tag!r}')
+    try:
+        message = _decode_message(tag, values)
+    except ProtocolError as error:
+        raise MalformedMessage(error.detail, kind, number, tag) from error
     return Frame(kind, number, tag, message, len(body) + HEADER_BYTES)
 
 
@@ -151,17 +177,30 @@
         received = self.received
         received += chunk
         start = 0
-        while (body := start + HEADER_BYTES) <= len(received):
-            size = int.from_bytes(received[start:body], 'big')
-            if size > self.max_frame_bytes:
-                raise _malformed(
-                    f'frame of {size} bytes exceeds {self.max_frame_bytes}'
-                )
-            if body + size > len(received):
-                break
-            start = body + size
-            yield decode_body(bytes(received[body:start]))
-        del received[:start]
+        try:
+            while (body := start + HEADER_BYTES) <= len(received):
+                end = body + self._body_bytes(received[start:body])
+                if end > len(received):
+                    return
+                start = end
+                yield decode_body(bytes(received[body:end]))
+        finally:
+            # Also runs when the caller stops early; the rest is kept.
+            del received[:start]
+
+    def _body_bytes(self, header: bytearray) -> int:
+        size = int.from_bytes(header, 'big')
+        if size > self.max_frame_bytes:
+            raise _malformed(
+                f'frame of {size} bytes exceeds {self.max_frame_bytes}'
+            )
+        return size
+
+
+def _decode_message(tag: str, values: Any) -> Any:
+    if tag not in MESSAGE_TYPES:
+        raise _malformed(f'unknown message tag {tag!r}')
+    return _decoder(MESSAGE_TYPES[tag])(values)
 
 
 def _malformed(detail: str) -> ProtocolError:
--- a/src/limpetlanding/wire/link.py
+++ b/src/limpetlanding/wire/link.py
@@ -3,27 +3,34 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from contextlib import suppress
+from contextlib import closing, suppress
 from typing import Any
 
 from limpetlanding.errors import ProtocolError
 from limpetlanding.wire.codec import (
+    MAX_FRAME_BYTES,
     Frame,
     FrameBuffer,
     FrameKind,
+    MalformedMessage,
     encode_frame,
     tag_of,
 )
 from limpetlanding.wire.counters import Counters
-from limpetlanding.wire.messages import PROTOCOL_VERSION, Heartbeat, Hello
+from limpetlanding.wire.messages import (
+    PROTOCOL_VERSION,
+    ErrorReply,
+    Heartbeat,
+    Hello,
+)
 from limpetlanding.wire.options import Timing
 
 _READ_BYTES = 64 * 1024
 _MAX_HELLO_BYTES = 16 * 1024
-# Above this amount of unsent data notifications are dropped.
+# Above this amount of unsent data notifications are dropped; requests and
+# replies wait.
 _CROWDED_BYTES = 8 * 1024 * 1024
-# Above this amount the link is dropped: the peer reads too slowly.
-_MAX_UNSENT_BYTES = 64 * 1024 * 1024
+_MIN_TICK_S = 0.05
 
 
 class Link:
@@ -64,8 +71,14 @@
         self.last_sent = self.loop.time()
         self.last_digest: int | None = None
         self.last_digest_sent = self.loop.time()
-        self.last_tick = self.loop.time()
+        self.tick_due = self.loop.time()
+        self.on_room: Callable[[], None] | None = None
+        self.has_room = asyncio.Event()
+        self.has_room.set()
+        self.room_task: asyncio.Task[None] | None = None
         self.lost = False
+        self.closing = False
+        self.ended = asyncio.Event()
 
     async def exchange_hello(self, own: Hello) -> Hello:
         """Send the own first frame and return the peer's.
@@ -79,14 +92,16 @@
         self.send(FrameKind.NOTIFY, 0, own)
         try:
             async with asyncio.timeout(self.timing.hello_s):
-                frames = await self._read_first_frames()
+                frame = await self._read_first_frame()
         except TimeoutError as error:
             raise ProtocolError('no hello in time', step='hello') from error
-        hello = frames[0].message
+        hello = frame.message
         if not isinstance(hello, Hello):
             raise ProtocolError(
-                f'first frame is {frames[0].tag}, expected hello', step='hello'
+                f'first frame is {frame.tag}, expected hello', step='hello'
             )
+        if not hello.node or not hello.incarnation:
+            raise ProtocolError('hello without node', step='hello')
         if hello.protocol != PROTOCOL_VERSION:
             raise ProtocolError(
                 f'protocol version {hello.protocol}, '
@@ -94,7 +109,6 @@
                 step='hello',
                 peer=hello.node,
             )
-        self.early_frames = frames[1:]
         return hello
 
     async def run(
@@ -118,13 +132,10 @@
         """
         hand_over = _delayed(self, deliver, delay_s) if delay_s else deliver
         self._tick()
-        for frame in self.early_frames:
-            hand_over(self, frame)
-        while chunk := await self.reader.read(_READ_BYTES):
-            self.last_received = self.loop.time()
-            for frame in self.frames.feed(chunk):
-                self.counters.received.add(frame.tag, frame.byte_count)
-                hand_over(self, frame)
+        try:
+            await self._read_frames(hand_over)
+        finally:
+            self.ended.set()
 
     def send(self, kind: FrameKind, number: int, message: Any) -> bool:
         """Queue one frame for the next write.
@@ -132,8 +143,8 @@
         Returns
         -------
         bool
-            False if the link is lost, or is crowded and the frame is a
-            notification.
+            False if the link is lost, or is crowded and the frame is not a
+            reply.
 
         Raises
         ------
@@ -141,14 +152,9 @@
             If the message cannot be encoded.
         """
         frame = encode_frame(kind, number, message)
-        if self.lost:
+        if self.lost or self.closing:
             return False
-        waiting = self.unsent_bytes + self._transport_bytes()
-        if waiting > _CROWDED_BYTES and kind == FrameKind.NOTIFY:
-            return False
-        if waiting > _MAX_UNSENT_BYTES:
-            self.counters.events['links_overfull'] += 1
-            self.abort()
+        if kind != FrameKind.REPLY and self.is_crowded():
             return False
         self.counters.sent.add(tag_of(message), len(frame))
         if not self.unsent:
@@ -157,43 +163,93 @@
         self.unsent_bytes += len(frame)
         return True
 
-    async def flush(self) -> None:
-        """Wait until the operating system has taken all queued frames."""
-        self._flush()
-        with suppress(OSError):
-            await self.writer.drain()
+    def is_crowded(self) -> bool:
+        """Whether so much is unsent that new frames have to wait."""
+        transport_bytes = self.writer.transport.get_write_buffer_size()
+        if self.unsent_bytes + transport_bytes <= _CROWDED_BYTES:
+            return False
+        if self.has_room.is_set():
+            self.has_room.clear()
+            self.room_task = self.loop.create_task(self._wait_for_room())
+        return True
+
+    async def wait_for_room(self) -> None:
+        """Wait until the link is not crowded, or is lost."""
+        while not self.lost and self.is_crowded():
+            await self.has_room.wait()
 
     def abort(self) -> None:
         """Drop the link without sending what is queued."""
-        if self.lost:
-            return
         self.lost = True
         self.unsent.clear()
+        if self.room_task is not None:
+            self.room_task.cancel()
+        self.has_room.set()
         self.writer.transport.abort()
 
-    def close(self) -> None:
-        """Close the link after sending what is queued."""
+    async def close(self) -> None:
+        """Send what is queued, then close the link.
+
+        The peer closes its side when it has read everything. Closing first
+        could reset the connection and lose what the peer has not read.
+        """
         self._flush()
-        self.lost = True
-        self.writer.close()
+        self.closing = True
+        with suppress(OSError):
+            if self.writer.can_write_eof():
+                self.writer.write_eof()
+            else:
+                self.writer.close()
+        await self.ended.wait()
 
-    async def _read_first_frames(self) -> list[Frame]:
-        while chunk := await self.reader.read(_READ_BYTES):
-            frames = []
+    async def _read_frames(
+        self, hand_over: Callable[['Link', Frame], None]
+    ) -> None:
+        chunk = b''  # Frames may have arrived right behind the first one.
+        while not self.lost:
+            self._hand_over_frames(chunk, hand_over)
+            chunk = await self.reader.read(_READ_BYTES)
+            if not chunk:
+                return
+            self.last_received = self.loop.time()
+
+    def _hand_over_frames(
+        self, chunk: bytes, hand_over: Callable[['Link', Frame], None]
+    ) -> None:
+        try:
             for frame in self.frames.feed(chunk):
-                self.frames.max_frame_bytes = FrameBuffer().max_frame_bytes
                 self.counters.received.add(frame.tag, frame.byte_count)
-                frames.append(frame)
-            if frames:
+                hand_over(self, frame)
+        except MalformedMessage as error:
+            if error.kind == FrameKind.REQUEST:
+                # Without a reply the requester would repeat the request on
+                # every new link, and lose each of them.
+                reply = ErrorReply(error.step, '', error.detail)
+                self.send(FrameKind.REPLY, error.number, reply)
+                self._flush()
+            raise
+
+    async def _wait_for_room(self) -> None:
+        self._flush()
+        with suppress(OSError):
+            await self.writer.drain()
+        self.has_room.set()
+        if self.on_room is not None and not self.lost:
+            self.on_room()
+
+    async def _read_first_frame(self) -> Frame:
+        while chunk := await self.reader.read(_READ_BYTES):
+            with closing(self.frames.feed(chunk)) as frames:
+                frame = next(frames, None)
+            if frame is not None:
+                self.frames.max_frame_bytes = MAX_FRAME_BYTES
+                self.counters.received.add(frame.tag, frame.byte_count)
                 self.last_received = self.loop.time()
-                return frames
+                return frame
         raise ProtocolError('connection closed before hello', step='hello')
 
-    def _transport_bytes(self) -> int:
-        return self.writer.transport.get_write_buffer_size()
-
     def _flush(self) -> None:
-        if self.lost or not self.unsent:
+        if self.lost or self.closing or not self.unsent:
             return
         batch = b''.join(self.unsent)
         self.unsent.clear()
@@ -205,29 +261,35 @@
         if self.lost:
             return
         now = self.loop.time()
-        tick_s = self.timing.heartbeat_s / 2
+        timing = self.timing
         # A process that was paused finds all links silent when it resumes;
         # it first reads what arrived meanwhile.
-        paused = now - self.last_tick > self.timing.heartbeat_s
-        self.last_tick = now
-        if now - self.last_received >= self.timing.silence_s and not paused:
+        was_paused = now - self.tick_due > timing.heartbeat_s / 2
+        silent_s = now - self.last_received
+        if silent_s >= timing.silence_s and not was_paused:
             self.counters.events['links_silent'] += 1
             self.abort()
             return
         self._send_heartbeat_if_due(now)
-        self.loop.call_later(tick_s, self._tick)
+        due = min(
+            self.last_sent + timing.heartbeat_s,
+            self.last_received + timing.silence_s,
+        )
+        wait_s = min(max(due - now, _MIN_TICK_S), timing.heartbeat_s)
+        self.tick_due = now + wait_s
+        self.loop.call_later(wait_s, self._tick)
 
     def _send_heartbeat_if_due(self, now: float) -> None:
         digest = self.config_digest()
-        tick_s = self.timing.heartbeat_s / 2
         if (
-            now - self.last_sent > self.timing.heartbeat_s - tick_s / 2
+            now - self.last_sent >= self.timing.heartbeat_s - _MIN_TICK_S / 2
             or digest != self.last_digest
             or now - self.last_digest_sent >= self.timing.digest_s
         ):
             self.last_digest = digest
             self.last_digest_sent = now
             self.send(FrameKind.NOTIFY, 0, Heartbeat(digest))
+            self._flush()
 
 
 def _delayed(
--- a/src/limpetlanding/wire/node.py
+++ b/src/limpetlanding/wire/node.py
@@ -1,8 +1,9 @@
-"""Node: listener, dialers and the registry of peers of one process."""
+"""Node: listener, dialers and peers of one process."""
 
 import asyncio
 from collections.abc import Callable
 from contextlib import suppress
+from itertools import count
 from typing import Any
 
 from loguru import logger
@@ -10,21 +11,26 @@
 from limpetlanding.errors import PeerLost, ProtocolError, RequestTimeout
 from limpetlanding.wire.channel import Channel, Handler
 from limpetlanding.wire.counters import Counters
+from limpetlanding.wire.dialer import Dialer, DialMode
 from limpetlanding.wire.link import Link
 from limpetlanding.wire.messages import Hello
 from limpetlanding.wire.options import NodeOptions
-
-_MAX_GONE = 10_000
+from limpetlanding.wire.peers import PeerEvents, Peers
 
 
 class Node:
     """Listener and dialers of one process.
 
+    The attributes ``on_peer_up``, ``on_peer_down`` (each called with a
+    channel), ``on_heartbeat`` (called with a channel and the peer's
+    configuration digest) and ``config_digest`` (returns the own digest, an
+    integer below 2**64) may be set at any time.
+
     Parameters
     ----------
     hello : Hello
-        First frame of every link; ``address`` is ``host:port`` to listen at,
-        or empty for a node that does not listen.
+        First frame of every link; ``address`` is the ``host:port`` at which
+        peers reach this node, or empty if it does not listen.
     handler : callable
         ``await handler(channel, message)``; its result is the reply to a
         request, where None stands for ``Ack()``.
@@ -48,27 +54,34 @@
         self.connect = connect
         self.serve = serve
         self.counters = Counters()
-        self.registry: dict[tuple[str, str], Channel] = {}
-        self.dialers: dict[str, asyncio.Task[None]] = {}
-        self.at_address: dict[str, Channel] = {}
-        self.gone: dict[str, None] = {}
-        self.link_tasks: set[asyncio.Task[Any]] = set()
-        self.server: asyncio.Server | None = None
-        self.stopping = False
-        self.config_digest: Callable[[], int] = int
+        self.numbers = count(1)
         self.on_peer_up: Callable[[Channel], None] = _ignore
         self.on_peer_down: Callable[[Channel], None] = _ignore
         self.on_heartbeat: Callable[[Channel, int], None] = _ignore
-        self.changed = asyncio.Condition()
+        self.config_digest: Callable[[], int] = int
+        self.peers = Peers(
+            self._create_channel,
+            PeerEvents(
+                up=lambda channel: self.on_peer_up(channel),
+                down=lambda channel: self.on_peer_down(channel),
+                link_lost=self._recover,
+            ),
+            self.options.timing,
+        )
+        self.dialers: dict[str, Dialer] = {}
+        self.dialer_tasks: dict[str, asyncio.Task[None]] = {}
+        self.link_tasks: set[asyncio.Task[Any]] = set()
+        self.server: asyncio.Server | None = None
+        self.stopping = False
 
     @property
     def channels(self) -> list[Channel]:
         """Channels of all peers that are not known to be gone."""
-        return list(self.registry.values())
+        return list(self.peers.channels.values())
 
     def channel(self, node: str, incarnation: str) -> Channel | None:
         """Return the channel of a peer incarnation, if there is one."""
-        return self.registry.get((node, incarnation))
+        return self.peers.channels.get((node, incarnation))
 
     async def start(self) -> None:
         """Start to listen; port 0 in the address is replaced by a free one.
@@ -78,16 +91,14 @@
         OSError
             If the address cannot be used.
         """
-        if not self.hello.address:
+        listen = self.options.listen or self.hello.address
+        if not listen:
             return
-        host, port = split_address(self.hello.address)
+        host, port = split_address(listen)
         self.server = await self.serve(
-            self._accept,
-            self.options.listen_host or host,
-            port,
-            **_tls(self.options.server_tls),
+            self._accept, host, port, **_tls(self.options.server_tls)
         )
-        if not port:
+        if self.hello.address.endswith(':0'):
             port = self.server.sockets[0].getsockname()[1]
             self.hello.address = f'{host}:{port}'
 
@@ -98,43 +109,41 @@
         ----------
         drain : bool
             Whether requests in progress are finished and their replies
-            sent first, for at most ``drain_s``.
+            sent first, for at most ``drain_s``. Requests that arrive
+            meanwhile are answered with an error.
         """
         self.stopping = True
         if self.server is not None:
             self.server.close()
-        for dialer in self.dialers.values():
-            dialer.cancel()
+        await _cancel(self.dialer_tasks.values())
         for channel in self.channels:
             channel.stopping = True
         if drain:
             await self._drain()
+        self.peers.events.down = _ignore
         for channel in self.channels:
-            for link in channel.links:
-                link.close()
-            self._remove(channel, 'this node has stopped')
-        tasks = [*self.link_tasks, *self.dialers.values()]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+            self.peers.remove(channel, 'this node has stopped')
+            await _cancel([*channel.serving.values(), *channel.notified])
+        await _cancel(self.link_tasks)
 
     def keep_dialing(self, address: str) -> None:
         """Keep a link to whichever incarnation is at `address`."""
-        if address not in self.dialers and not self.stopping:
-            task = asyncio.create_task(self._dial_forever(address))
-            self.dialers[address] = task
+        self._start_dialer(address, DialMode.FOLLOW)
 
     def stop_dialing(self, address: str) -> None:
         """Stop what `dial` or `keep_dialing` started; links stay open."""
-        dialer = self.dialers.pop(address, None)
-        if dialer is not None:
-            dialer.cancel()
+        task = self.dialer_tasks.get(address)
+        if task is not None:
+            task.cancel()
 
     async def dial(
-        self, address: str, incarnation: str = '', timeout_s: float = 4
+        self, address: str, incarnation: str = '', timeout_s: float = 5
     ) -> Channel:
         """Return the channel of the peer at `address`, and keep a link up.
 
+        The node dials again until the incarnation that it has reached is
+        gone; see `keep_dialing` for following an address.
+
         Parameters
         ----------
         address : str
@@ -147,22 +156,22 @@
         Raises
         ------
         PeerLost
-            If another incarnation is at the address.
+            If the connection is refused, or another incarnation is at the
+            address.
         RequestTimeout
-            If there is no link in time; the node keeps dialing.
+            If there is no link in time.
         """
-        if incarnation and incarnation in self.gone:
-            raise PeerLost('incarnation is gone', step='dial', peer=address)
-        self.keep_dialing(address)
+        if self.stopping:
+            raise PeerLost('this node stops', step='dial', peer=address)
+        dialer = self._start_dialer(address, DialMode.INCARNATION)
         try:
-            async with asyncio.timeout(timeout_s), self.changed:
-                await self.changed.wait_for(lambda: self._is_linked(address))
+            async with asyncio.timeout(timeout_s):
+                channel = await dialer.wait_linked()
         except TimeoutError as error:
             raise RequestTimeout(
                 'no link in time', step='dial', peer=address
             ) from error
-        channel = self.at_address[address]
-        if incarnation and channel.peer.incarnation != incarnation:
+        if incarnation not in {'', channel.peer.incarnation}:
             raise PeerLost(
                 'another incarnation is at the address',
                 step='dial',
@@ -170,9 +179,51 @@
             )
         return channel
 
-    def _is_linked(self, address: str) -> bool:
-        channel = self.at_address.get(address)
-        return channel is not None and bool(channel.links)
+    def _create_channel(self, hello: Hello) -> Channel:
+        channel = Channel(
+            hello,
+            self.hello,
+            self.handler,
+            self.counters,
+            self.options.timing.suspect_s,
+            self.numbers,
+        )
+        channel.stopping = self.stopping
+        channel.on_heartbeat = lambda *args: self.on_heartbeat(*args)
+        return channel
+
+    def _start_dialer(
+        self, address: str, mode: DialMode, target: Channel | None = None
+    ) -> Dialer:
+        dialer = self.dialers.get(address)
+        if dialer is None:
+            dialer = Dialer(
+                address,
+                mode,
+                self.peers,
+                self._open,
+                self.options,
+                self.counters,
+                target,
+            )
+            self.dialers[address] = dialer
+            task = asyncio.create_task(dialer.run())
+            self.dialer_tasks[address] = task
+            task.add_done_callback(lambda _: self._dialer_done(address))
+        elif dialer.mode is not DialMode.FOLLOW:
+            dialer.mode = mode
+        return dialer
+
+    def _dialer_done(self, address: str) -> None:
+        self.dialer_tasks.pop(address, None)
+        self.dialers.pop(address).end()
+
+    def _recover(self, channel: Channel) -> None:
+        # The peer usually dials again. This node dials as well, because only
+        # its own attempts can show that the peer is gone.
+        address = channel.peer.address
+        if address and address not in self.dialers and not self.stopping:
+            self._start_dialer(address, DialMode.RECOVER, channel)
 
     async def _drain(self) -> None:
         serving = [
@@ -180,43 +231,33 @@
             for channel in self.channels
             for task in channel.serving.values()
         ]
+        drain_s = self.options.timing.drain_s
         if serving:
-            await asyncio.wait(serving, timeout=self.options.timing.drain_s)
+            await asyncio.wait(serving, timeout=drain_s)
         links = [link for channel in self.channels for link in channel.links]
         with suppress(TimeoutError):
-            async with asyncio.timeout(self.options.timing.drain_s):
-                await asyncio.gather(*[link.flush() for link in links])
+            async with asyncio.timeout(drain_s):
+                await asyncio.gather(*[link.close() for link in links])
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await self._run_link(reader, writer, '')
+        await self._open_link(reader, writer, '')
 
-    async def _dial_forever(self, address: str) -> None:
-        timing = self.options.timing
+    async def _open(self, address: str) -> Channel | None:
         host, port = split_address(address)
-        backoff_s = timing.redial_min_s
-        while True:
-            try:
-                async with asyncio.timeout(timing.hello_s):
-                    reader, writer = await self.connect(
-                        host, port, **_tls(self.options.client_tls)
-                    )
-            except (OSError, TimeoutError):
-                self.counters.events['dials_failed'] += 1
-            else:
-                if await self._run_link(reader, writer, address):
-                    backoff_s = timing.redial_min_s
-                    continue
-            await asyncio.sleep(backoff_s * self.options.rng.uniform(0.5, 1))
-            backoff_s = min(2 * backoff_s, timing.redial_max_s)
-
-    async def _run_link(
+        async with asyncio.timeout(self.options.timing.hello_s):
+            streams = await self.connect(
+                host, port, **_tls(self.options.client_tls)
+            )
+        return await self._open_link(*streams, address)
+
+    async def _open_link(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         dialed: str,
-    ) -> bool:
+    ) -> Channel | None:
         link = Link(
             reader,
             writer,
@@ -224,26 +265,40 @@
             self.options.timing,
             lambda: self.config_digest(),
         )
-        task = asyncio.current_task()
-        self.link_tasks.add(task)
         channel = None
         try:
             hello = await link.exchange_hello(self.hello)
-            channel = await self._register(hello, link, dialed)
-            await link.run(channel.receive, self._delay_s(hello))
-        except ProtocolError as error:
+            if self.stopping:
+                raise ConnectionAbortedError('this node stops')
+            channel = self.peers.link_up(hello, link, dialed)
+        except (ProtocolError, OSError) as error:
+            self._log_link_error(error, dialed)
+        finally:
+            if channel is None:
+                link.abort()
+        if channel is not None:
+            task = asyncio.create_task(self._run_link(channel, link))
+            self.link_tasks.add(task)
+            task.add_done_callback(self.link_tasks.discard)
+        return channel
+
+    async def _run_link(self, channel: Channel, link: Link) -> None:
+        try:
+            await link.run(channel.receive, self._delay_s(channel.peer))
+        except (ProtocolError, OSError) as error:
+            self._log_link_error(error, channel.peer.node)
+        finally:
+            link.abort()
+            self.peers.link_lost(channel, link)
+
+    def _log_link_error(self, error: Exception, peer: str) -> None:
+        if isinstance(error, ProtocolError):
             self.counters.events['protocol_errors'] += 1
-            logger.bind(step=error.step, peer=error.peer or dialed).warning(
+            logger.bind(step=error.step, peer=error.peer or peer).warning(
                 'link closed: {}', error.detail
             )
-        except OSError:
+        else:
             self.counters.events['links_reset'] += 1
-        finally:
-            link.abort()
-            self.link_tasks.discard(task)
-            if channel is not None:
-                self._link_lost(channel, link)
-        return channel is not None
 
     def _delay_s(self, peer: Hello) -> float:
         delay_ms = self.options.emulated_delay_ms
@@ -252,70 +307,6 @@
         domains = self.hello.failure_domain, peer.failure_domain
         return delay_ms(*domains) / 1000
 
-    async def _register(self, hello: Hello, link: Link, dialed: str) -> Channel:
-        if hello.incarnation in self.gone:
-            raise ProtocolError(
-                'incarnation is gone', step='hello', peer=hello.node
-            )
-        key = hello.node, hello.incarnation
-        channel = self.registry.get(key)
-        if channel is None:
-            channel = Channel(
-                hello,
-                self.hello,
-                self.handler,
-                self.counters,
-                self.options.timing.suspect_s,
-            )
-            channel.on_heartbeat = self._heartbeat_received
-            self.registry[key] = channel
-        for address in {hello.address, dialed} - {''}:
-            previous = self.at_address.get(address)
-            self.at_address[address] = channel
-            if previous is not None and previous is not channel:
-                self._declare_gone(previous)
-        channel.attach(link)
-        if not channel.up:
-            channel.up = True
-            self.on_peer_up(channel)
-        async with self.changed:
-            self.changed.notify_all()
-        return channel
-
-    def _heartbeat_received(self, channel: Channel, digest: int) -> None:
-        self.on_heartbeat(channel, digest)
-
-    def _link_lost(self, channel: Channel, link: Link) -> None:
-        channel.detach(link)
-        if not channel.links and not channel.closed.is_set():
-            asyncio.get_running_loop().call_later(
-                self.options.timing.down_s, self._check_down, channel
-            )
-
-    def _check_down(self, channel: Channel) -> None:
-        since = channel.lost_link_at
-        if since is None or channel.closed.is_set():
-            return
-        if channel.loop.time() - since >= self.options.timing.down_s:
-            self._set_down(channel)
-
-    def _set_down(self, channel: Channel) -> None:
-        if channel.up:
-            channel.up = False
-            self.on_peer_down(channel)
-
-    def _declare_gone(self, channel: Channel) -> None:
-        self.gone[channel.peer.incarnation] = None
-        while len(self.gone) > _MAX_GONE:
-            self.gone.pop(next(iter(self.gone)))
-        self._remove(channel, 'the incarnation of the peer is gone')
-
-    def _remove(self, channel: Channel, detail: str) -> None:
-        key = channel.peer.node, channel.peer.incarnation
-        self.registry.pop(key, None)
-        channel.fail(detail)
-        self._set_down(channel)
-
 
 def split_address(address: str) -> tuple[str, int]:
     """Return host and port of ``host:port``.
@@ -329,6 +320,13 @@
     return host, int(port)
 
 
+async def _cancel(tasks: Any) -> None:
+    tasks = [task for task in tasks if task is not asyncio.current_task()]
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def _tls(context: Any) -> dict[str, Any]:
     return {} if context is None else {'ssl': context}
 
--- a/src/limpetlanding/wire/options.py
+++ b/src/limpetlanding/wire/options.py
@@ -52,8 +52,8 @@
 
     Parameters
     ----------
-    listen_host : str
-        Address to listen at; empty for the host in ``hello.address``.
+    listen : str
+        ``host:port`` to listen at; empty for ``hello.address``.
     timing : Timing
         Time limits.
     emulated_delay_ms : callable, optional
@@ -64,7 +64,7 @@
         Source of the jitter between attempts to connect.
     """
 
-    listen_host: str = ''
+    listen: str = ''
     timing: Timing = field(default_factory=Timing)
     emulated_delay_ms: Callable[[str, str], float] | None = None
     server_tls: ssl.SSLContext | None = None
--- /dev/null
+++ b/src/limpetlanding/wire/peers.py
@@ -0,0 +1,188 @@
+"""Peers: registry of channels by incarnation and by address."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from loguru import logger
+
+from limpetlanding.errors import ProtocolError
+from limpetlanding.lifecycle import PeerState
+from limpetlanding.wire.channel import Channel
+from limpetlanding.wire.link import Link
+from limpetlanding.wire.messages import Hello
+from limpetlanding.wire.options import Timing
+
+_MAX_GONE = 10_000
+
+
+@dataclass(slots=True)
+class PeerEvents:
+    """Callbacks for changes of peers.
+
+    Parameters
+    ----------
+    up : callable
+        A peer has a link for the first time, or again after it was down.
+    down : callable
+        A peer has had no link for ``down_s``, or is gone.
+    link_lost : callable
+        A peer has lost its last link.
+    """
+
+    up: Callable[[Channel], None]
+    down: Callable[[Channel], None]
+    link_lost: Callable[[Channel], None]
+
+
+class Peers:
+    """Channels of one node, one per peer incarnation.
+
+    Parameters
+    ----------
+    create : callable
+        Returns a new channel for the first frame of a peer.
+    events : PeerEvents
+        Callbacks.
+    timing : Timing
+        Time limits.
+    """
+
+    def __init__(
+        self,
+        create: Callable[[Hello], Channel],
+        events: PeerEvents,
+        timing: Timing,
+    ) -> None:
+        self.create = create
+        self.events = events
+        self.timing = timing
+        self.channels: dict[tuple[str, str], Channel] = {}
+        self.at_address: dict[str, list[Channel]] = {}
+        self.gone: dict[tuple[str, str], None] = {}
+
+    def newest_at(self, address: str) -> Channel | None:
+        """Return the latest incarnation seen at an address."""
+        channels = self.at_address.get(address)
+        return channels[-1] if channels else None
+
+    def is_gone(self, node: str, incarnation: str) -> bool:
+        """Whether another incarnation has taken the peer's address."""
+        return (node, incarnation) in self.gone
+
+    def link_up(self, hello: Hello, link: Link, dialed: str) -> Channel:
+        """Register a link after the exchange of the first frames.
+
+        Parameters
+        ----------
+        hello : Hello
+            First frame of the peer.
+        link : Link
+            The new link.
+        dialed : str
+            Address at which this node reached the peer; empty if the peer
+            has dialed.
+
+        Raises
+        ------
+        ProtocolError
+            If the peer's incarnation is known to be gone.
+        """
+        key = hello.node, hello.incarnation
+        if key in self.gone:
+            raise ProtocolError(
+                'this incarnation has been replaced at its address',
+                step='hello',
+                peer=hello.node,
+            )
+        channel = self.channels.get(key)
+        if channel is None:
+            channel = self.create(hello)
+            self.channels[key] = channel
+        for address in {hello.address, dialed} - {''}:
+            self._claim(channel, address, proven=bool(dialed))
+        channel.attach(link)
+        if channel.lifecycle.move(PeerState.UP):
+            _call(self.events.up, channel)
+        return channel
+
+    def link_lost(self, channel: Channel, link: Link) -> None:
+        """Take a lost link from its channel."""
+        channel.detach(link)
+        if channel.links or channel.closed.is_set():
+            return
+        if any(self._successors(channel)):
+            self.declare_gone(channel)
+            return
+        lost_at = channel.link_lost_at
+        channel.loop.call_later(
+            self.timing.down_s, self._report_down, channel, lost_at
+        )
+        channel.loop.call_later(
+            self.timing.forget_s, self._forget, channel, lost_at
+        )
+        _call(self.events.link_lost, channel)
+
+    def declare_gone(self, channel: Channel) -> None:
+        """Fail a peer whose address is held by another incarnation.
+
+        The incarnation is refused if it shows up again.
+        """
+        self.gone[(channel.peer.node, channel.peer.incarnation)] = None
+        while len(self.gone) > _MAX_GONE:
+            self.gone.pop(next(iter(self.gone)))
+        self.remove(channel, 'another incarnation has its address')
+
+    def remove(self, channel: Channel, detail: str) -> None:
+        """Close a channel; its peer may register again as a new channel."""
+        self.channels.pop((channel.peer.node, channel.peer.incarnation), None)
+        for address, channels in list(self.at_address.items()):
+            if channel in channels:
+                channels.remove(channel)
+            if not channels:
+                self.at_address.pop(address)
+        channel.fail(detail)
+        was_up = channel.lifecycle.state is PeerState.UP
+        channel.lifecycle.move(PeerState.GONE)
+        if was_up:
+            _call(self.events.down, channel)
+
+    def _claim(self, channel: Channel, address: str, proven: bool) -> None:
+        channels = self.at_address.setdefault(address, [])
+        if channel not in channels:
+            channels.append(channel)
+        # A peer that answers at an address it was dialed at is there. One
+        # that only names the address may be a late frame of an earlier
+        # process, so an incarnation heard just now is not given up for it.
+        for other in channels.copy():
+            if other is not channel and (proven or other.suspect):
+                self.declare_gone(other)
+
+    def _successors(self, channel: Channel) -> list[Channel]:
+        return [
+            other
+            for channels in self.at_address.values()
+            if channel in channels
+            for other in channels
+            if other is not channel and other.links
+        ]
+
+    def _report_down(self, channel: Channel, lost_at: float) -> None:
+        is_up = channel.lifecycle.state is PeerState.UP
+        if is_up and channel.link_lost_at == lost_at:
+            channel.lifecycle.move(PeerState.DOWN)
+            _call(self.events.down, channel)
+
+    def _forget(self, channel: Channel, lost_at: float) -> None:
+        if not channel.closed.is_set() and channel.link_lost_at == lost_at:
+            self.remove(channel, 'no link for too long')
+
+
+def _call(callback: Callable[[Channel], Any], channel: Channel) -> None:
+    # A failing callback must not take the link or the timer with it.
+    try:
+        callback(channel)
+    except Exception as error:
+        logger.bind(step='peer', peer=channel.peer.node).opt(
+            exception=error
+        ).error('callback failed')
--- /dev/null
+++ b/src/limpetlanding/wire/tests/faulty.py
@@ -0,0 +1,161 @@
+"""In-memory network whose connections can be disturbed.
+
+It stands in for ``asyncio.open_connection`` and ``asyncio.start_server``:
+pass ``network.connect`` and ``network.serve`` to `Node`. It needs the virtual
+loop of the tests.
+"""
+
+import asyncio
+from collections import Counter
+from contextlib import suppress
+from itertools import count
+
+import async_solipsism
+
+READ_BYTES = 64 * 1024
+
+
+class Direction:
+    """One direction of a connection."""
+
+    def __init__(self):
+        self.silent = False
+        self.flowing = asyncio.Event()
+        self.flowing.set()
+        self.byte_count = 0
+
+    async def pump(self, reader, writer):
+        """Copy until either end closes; close the other end then."""
+        with suppress(OSError):
+            while chunk := await self._read(reader):
+                if not self.silent:
+                    self.byte_count += len(chunk)
+                    writer.write(chunk)
+                    await writer.drain()
+        if not self.silent:
+            writer.close()
+
+    async def _read(self, reader):
+        await self.flowing.wait()
+        chunk = await reader.read(READ_BYTES)
+        await self.flowing.wait()
+        return chunk
+
+
+class Connection:
+    """One connection through the network.
+
+    `silence` loses everything sent from now on, in one direction or both,
+    without closing the connection; the end of the stream is lost as well.
+    `stall` stops reading, so that the sender's buffers fill up; `resume`
+    lets the data flow again. `reset` breaks the connection.
+    """
+
+    def __init__(self, address, client_pair, server_pair):
+        self.address = address
+        self.client, self.client_side = client_pair
+        self.server_side, self.server = server_pair
+        self.to_server = Direction()
+        self.to_client = Direction()
+        self.tasks = [
+            asyncio.create_task(
+                self.to_server.pump(self.client_side[0], self.server_side[1])
+            ),
+            asyncio.create_task(
+                self.to_client.pump(self.server_side[0], self.client_side[1])
+            ),
+        ]
+
+    @property
+    def directions(self):
+        return (self.to_server, self.to_client)
+
+    def silence(self, to_server=True, to_client=True):
+        self.to_server.silent |= to_server
+        self.to_client.silent |= to_client
+
+    def stall(self, to_server=True, to_client=True):
+        if to_server:
+            self.to_server.flowing.clear()
+        if to_client:
+            self.to_client.flowing.clear()
+
+    def resume(self):
+        for direction in self.directions:
+            direction.flowing.set()
+
+    def reset(self):
+        for task in self.tasks:
+            task.cancel()
+        for _, writer in (self.client_side, self.server_side):
+            writer.transport.abort()
+
+
+class FaultyNetwork:
+    """Listeners and connections by address."""
+
+    def __init__(self):
+        self.listeners = {}
+        self.connections = []
+        self.refused = set()
+        self.unreachable = set()
+        self.ports = count(60_000)
+        self.tasks = set()
+        self.attempts = Counter()
+
+    async def connect(self, host, port, **_):
+        address = f'{host}:{port}'
+        self.attempts[address] += 1
+        if address in self.unreachable:
+            await asyncio.Event().wait()
+        if address in self.refused or address not in self.listeners:
+            raise ConnectionRefusedError(address)
+        connection = Connection(
+            address,
+            await async_solipsism.stream_pairs(),
+            await async_solipsism.stream_pairs(),
+        )
+        self.connections.append(connection)
+        task = asyncio.create_task(
+            self.listeners[address].accept(*connection.server)
+        )
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return connection.client
+
+    async def serve(self, accept, host, port, **_):
+        address = f'{host}:{port or next(self.ports)}'
+        if address in self.listeners:
+            raise OSError(f'address in use: {address}')
+        self.listeners[address] = Listener(self, accept, address)
+        return self.listeners[address]
+
+    def kill(self, address):
+        """Break all connections to an address and stop listening."""
+        self.listeners.pop(address, None)
+        for connection in self.to(address):
+            connection.reset()
+
+    def to(self, address):
+        return [c for c in self.connections if c.address == address]
+
+
+class Listener:
+    """Server object with the methods that callers use."""
+
+    def __init__(self, network, accept, address):
+        self.network = network
+        self.accept = accept
+        self.address = address
+        self.sockets = [self]
+
+    def getsockname(self):
+        host, port = self.address.split(':')
+        return host, int(port)
+
+    def close(self):
+        if self.network.listeners.get(self.address) is self:
+            self.network.listeners.pop(self.address)
+
+    async def wait_closed(self):
+        pass
--- /dev/null
+++ b/src/limpetlanding/wire/tests/test_link.py
@@ -0,0 +1,229 @@
+import asyncio
+import ssl
+from contextlib import suppress
+
+import pytest
+import trustme
+
+from limpetlanding.errors import PeerLost
+from limpetlanding.wire import (
+    MAX_FRAME_BYTES,
+    PROTOCOL_VERSION,
+    Ack,
+    Hello,
+    Node,
+    NodeOptions,
+    RemoteError,
+)
+from limpetlanding.wire.codec import FrameBuffer, FrameKind, encode_frame
+from limpetlanding.wire.tests.faulty import FaultyNetwork
+
+ADDRESS = '10.0.0.1:7000'
+
+
+async def accept_all(_channel, _message):
+    return None
+
+
+def hello(node='raw', address='', protocol=PROTOCOL_VERSION):
+    return Hello(protocol, 'agent', node, f'{node}-1', 'd', address, '')
+
+
+@pytest.fixture
+async def network():
+    return FaultyNetwork()
+
+
+@pytest.fixture
+async def node(network):
+    node = Node(
+        hello('node', ADDRESS),
+        accept_all,
+        connect=network.connect,
+        serve=network.serve,
+    )
+    await node.start()
+    yield node
+    await node.stop(drain=False)
+
+
+class RawPeer:
+    """Connection without a node behind it."""
+
+    def __init__(self, streams):
+        self.reader, self.writer = streams
+        self.buffer = FrameBuffer()
+
+    def send(self, message, kind=FrameKind.NOTIFY, number=0):
+        self.writer.write(encode_frame(kind, number, message))
+
+    async def read_until_closed(self):
+        frames = []
+        with suppress(OSError):
+            while chunk := await self.reader.read(65536):
+                frames += self.buffer.feed(chunk)
+        return frames
+
+
+@pytest.fixture
+async def raw(network, node):
+    return RawPeer(await network.connect('10.0.0.1', 7000))
+
+
+class TestFirstFrame:
+    @pytest.mark.parametrize(
+        'first',
+        [
+            encode_frame(FrameKind.NOTIFY, 0, hello(protocol=2)),
+            encode_frame(FrameKind.NOTIFY, 0, hello('')),
+            encode_frame(FrameKind.NOTIFY, 0, Ack()),
+            b'GET / HTTP/1.1\r\n\r\n',
+            (20_000).to_bytes(4, 'big'),
+            b'',
+        ],
+        ids=['version', 'no name', 'other message', 'http', 'long', 'nothing'],
+    )
+    async def test_wrong_first_frame_closes_the_link(self, node, raw, first):
+        # Guards against strangers, among them large ones and silent ones,
+        # that take memory or a place in the registry.
+        raw.writer.write(first)
+        frames = await raw.read_until_closed()
+        assert [frame.tag for frame in frames] == ['hello']
+        assert node.counters.events['protocol_errors'] == 1
+        assert not node.channels
+
+
+class TestMalformedFrames:
+    async def test_frame_beyond_the_limit_closes_the_link(self, node, raw):
+        raw.send(hello())
+        await asyncio.sleep(0.1)
+        assert node.channels[0].links
+        raw.writer.write((MAX_FRAME_BYTES + 1).to_bytes(4, 'big'))
+        await raw.read_until_closed()
+        assert not node.channels[0].links
+        assert node.counters.events['protocol_errors'] == 1
+
+    async def test_flood_of_frames_does_not_stop_the_node(self, node, network):
+        # Guards against one peer that keeps the node from serving others.
+        floods = []
+        for number in range(20):
+            raw = RawPeer(await network.connect('10.0.0.1', 7000))
+            raw.send(hello(f'raw{number}'))
+            raw.writer.write(b'\xff' * 1_000_000)
+            floods.append(raw.read_until_closed())
+        await asyncio.gather(*floods)
+        assert node.counters.events['protocol_errors'] == 20
+        other = Node(hello('other'), accept_all, connect=network.connect)
+        channel = await other.dial(ADDRESS)
+        assert await channel.request(Ack(), 1) == Ack()
+        await other.stop(drain=False)
+
+    async def test_malformed_request_is_answered_with_an_error(self, node, raw):
+        # Guards against a requester that repeats a request which the peer
+        # cannot read on link after link.
+        raw.send(hello())
+        frame = encode_frame(FrameKind.REQUEST, 5, Ack())
+        raw.writer.write(frame.replace(b'ack', b'xyz'))
+        (reply,) = [
+            frame
+            for frame in await raw.read_until_closed()
+            if frame.kind == FrameKind.REPLY
+        ]
+        assert reply.number == 5
+        assert "unknown message tag 'xyz'" in reply.message.detail
+
+    async def test_unknown_reply_is_dropped_and_counted(self, node, raw):
+        raw.send(hello())
+        raw.send(Ack(), FrameKind.REPLY, 77)
+        await asyncio.sleep(0.1)
+        assert node.counters.events['replies_dropped'] == 1
+        assert node.channels[0].links
+
+    async def test_duplicate_reply_is_dropped_and_counted(self, node, raw):
+        raw.send(hello())
+        await asyncio.sleep(0.1)
+        asked = asyncio.create_task(node.channels[0].request(Ack(), 5))
+        await asyncio.sleep(0.1)
+        raw.send(Ack(detail='first'), FrameKind.REPLY, 1)
+        raw.send(Ack(detail='second'), FrameKind.REPLY, 1)
+        assert (await asked).detail == 'first'
+        await asyncio.sleep(0.1)
+        assert node.counters.events['replies_dropped'] == 1
+
+    async def test_frames_right_behind_the_first_are_served(self, node, raw):
+        raw.writer.write(
+            encode_frame(FrameKind.NOTIFY, 0, hello())
+            + encode_frame(FrameKind.REQUEST, 3, Ack())
+        )
+        await asyncio.sleep(0.1)
+        raw.writer.write_eof()
+        frames = await raw.read_until_closed()
+        assert 3 in [frame.number for frame in frames]
+
+
+class TestBatching:
+    async def test_frames_of_one_iteration_leave_in_one_write(
+        self, node, network
+    ):
+        # Guards against one system call for each small message.
+        other = Node(hello('other'), accept_all, connect=network.connect)
+        channel = await other.dial(ADDRESS)
+        await asyncio.sleep(0.1)
+        writes = []
+        link = channel.links[0]
+        link.writer = Recorder(link.writer, writes)
+        for _ in range(100):
+            channel.notify(Ack())
+        await asyncio.sleep(0.1)
+        assert len(writes) == 1
+        assert writes[0] == 100 * len(encode_frame(FrameKind.NOTIFY, 0, Ack()))
+        await other.stop(drain=False)
+
+
+class Recorder:
+    """Writer that records the size of each write."""
+
+    def __init__(self, writer, writes):
+        self.inner = writer
+        self.writes = writes
+
+    def __getattr__(self, name):
+        return getattr(self.inner, name)
+
+    def write(self, chunk):
+        self.writes.append(len(chunk))
+        self.inner.write(chunk)
+
+
+class TestTls:
+    """Real sockets on the loopback interface; the virtual loop has no TLS."""
+
+    def test_request_over_tls_and_refusal_without(self):
+        # Guards against settings that leave the links in clear text.
+        asyncio.run(self.exchange())
+
+    async def exchange(self):
+        authority = trustme.CA()
+        server = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        authority.issue_cert('127.0.0.1').configure_cert(server)
+        client = ssl.create_default_context()
+        authority.configure_trust(client)
+        node = Node(
+            hello('node', '127.0.0.1:0'),
+            accept_all,
+            NodeOptions(server_tls=server),
+        )
+        await node.start()
+        secure = Node(hello('b'), accept_all, NodeOptions(client_tls=client))
+        plain = Node(hello('c'), accept_all)
+        channel = await secure.dial(node.hello.address)
+        assert await channel.request(Ack(), 5) == Ack()
+        streams = await asyncio.open_connection(*node.hello.address.split(':'))
+        raw = RawPeer(streams)
+        raw.send(hello('c'))
+        assert not await raw.read_until_closed()
+        assert [c.peer.node for c in node.channels] == ['b']
+        for stopped in (plain, secure, node):
+            await stopped.stop()
+        with pytest.raises((PeerLost, RemoteError)):
+            await channel.request(Ack(), 5)
