--- a/src/limpetlanding/bench/experiments.py
+++ b/src/limpetlanding/bench/experiments.py
@@ -1,14 +1,17 @@
 """The experiments of the bench."""
 
+import asyncio
+import itertools
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import aiohttp
 
 from limpetlanding.bench import figures as fig
 from limpetlanding.bench.caller import Callers, Offer
 from limpetlanding.bench.deployments import Deployment
+from limpetlanding.bench.faults import FAULTS
 from limpetlanding.bench.meters import Reading, read_meters
 from limpetlanding.bench.system import System, running_system
 from limpetlanding.bench.workload import (
@@ -31,6 +34,11 @@
 CREST_BEGIN = 1 / 3
 CREST_END = 2 / 3
 WARM_UP_S = 4
+FAULT_LOAD = 0.5
+FAULT_PAIRS = 3
+# Jobs that arrive later than this after a fault must be served as if only
+# the lost capacity were missing.
+FAULT_RECOVERY_S = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +53,11 @@
     mix: Mix
     speeds: tuple[float, ...]
     arrivals: tuple[Arrival, ...]
+    faults: tuple[str, ...] = ()
+
+    def fault_at_s(self) -> float:
+        """Return when the faults are caused, in seconds."""
+        return CREST_BEGIN * self.seconds
 
     def capacity(self) -> float:
         """Return the tasks per second that all slots can serve."""
@@ -62,6 +75,7 @@
     offers: list[Offer]
     used: Reading
     system: System
+    capacity_left: float = 1
 
 
 def steady_plans(
@@ -92,7 +106,19 @@
     return [make_plan('crest', deployment, seed, seconds, None, Mix())]
 
 
+def fault_plans(
+    deployment: Deployment, seed: int, seconds: float
+) -> list[Plan]:
+    """Return a plan for each fault alone, then for pairs from the seed."""
+    base = make_plan('faults', deployment, seed, seconds, FAULT_LOAD, Mix())
+    pairs = list(itertools.combinations(FAULTS, 2))
+    drawn = random.Random(seed).sample(pairs, FAULT_PAIRS)
+    singles = ((name,) for name in FAULTS)
+    return [replace(base, faults=names) for names in (*singles, *drawn)]
+
+
 PLANS = {
+    'faults': fault_plans,
     'steady': steady_plans,
     'crest': crest_plans,
     'head-of-line': head_of_line_plans,
@@ -126,14 +152,16 @@
         )
         await callers.offer_all(warm_up.arrivals)
         before = await read_meters(system)
+        faults = asyncio.create_task(_cause_faults(plan, system))
         offers = await callers.offer_all(plan.arrivals)
         after = await read_meters(system)
-    return Run(offers, after.minus(before), system)
+    return Run(offers, after.minus(before), system, await faults)
 
 
 def summarise(plan: Plan, policy: str, run: Run) -> fig.Figures:
     """Return the figures of one run."""
     offers = run.offers
+    judged = [offer for offer in offers if _is_judged(plan, offer)]
     ideal = fig.ideal_of(plan.deployment, plan.speeds)
     slowdowns = [fig.slowdown(offer, ideal) for offer in offers]
     overheads = [
@@ -152,7 +180,7 @@
         seed=plan.seed,
         jobs=len(offers),
         tasks=tasks,
-        on_time_share=sum(map(Offer.is_on_time, offers)) / len(offers),
+        on_time_share=sum(map(Offer.is_on_time, judged)) / len(judged),
         slowdown_p50=fig.finite(fig.percentile(slowdowns, 0.5)),
         slowdown_p99=fig.finite(fig.percentile(slowdowns, 0.99)),
         overhead_p50=fig.percentile(overheads, 0.5),
@@ -170,6 +198,8 @@
         partial_answers=sum(offer.is_partial for offer in offers),
         false_not_run=fig.false_not_run(offers, run.system.starts),
         lost=fig.lost(offers),
+        fault='+'.join(plan.faults) or None,
+        capacity_left=run.capacity_left,
     )
 
 
@@ -185,6 +215,21 @@
     return rate
 
 
+async def _cause_faults(plan: Plan, system: System) -> float:
+    if not plan.faults:
+        return 1
+    await asyncio.sleep(plan.fault_at_s())
+    rng = random.Random(plan.seed)
+    left = [await FAULTS[name](system, rng) for name in plan.faults]
+    return 1 - sum(1 - share for share in left)
+
+
+def _is_judged(plan: Plan, offer: Offer) -> bool:
+    if not plan.faults:
+        return True
+    return offer.arrival.at_s >= plan.fault_at_s() + FAULT_RECOVERY_S
+
+
 def _crest_rate(plan: Plan, offers: Sequence[Offer]) -> float | None:
     if plan.experiment != 'crest':
         return None
--- a/src/limpetlanding/bench/figures.py
+++ b/src/limpetlanding/bench/figures.py
@@ -38,6 +38,8 @@
     partial_answers: int
     false_not_run: int
     lost: int
+    fault: str | None = None
+    capacity_left: float | None = None
 
     def as_dict(self) -> dict:
         """Return the figures rounded for a JSON line."""
--- a/src/limpetlanding/bench/main.py
+++ b/src/limpetlanding/bench/main.py
@@ -34,6 +34,8 @@
     'partial_answers',
     'false_not_run',
     'lost',
+    'fault',
+    'capacity_left',
 )
 
 
--- a/src/limpetlanding/bench/meters.py
+++ b/src/limpetlanding/bench/meters.py
@@ -10,31 +10,22 @@
 
 # Sent messages that bring no task nearer to its answer: refused or repeated
 # placements, revocations and what follows from them.
-WASTED_TYPES = frozenset(
-    (
-        'RevokeTasks',
-        'Revoked',
-        'MoveTasks',
-        'PlaceAgain',
-        'Placements',
-        'LocateCoordinator',
-        'Located',
-    )
+WASTED_TAGS = frozenset(
+    ('revoke', 'revoked', 'move', 'place', 'placed', 'locate', 'located')
 )
 # Sent whether or not there are tasks; counted per second, not per task.
-CONTROL_TYPES = frozenset(
+CONTROL_TAGS = frozenset(
     (
-        'Hello',
-        'Heartbeat',
-        'LoadReport',
-        'Members',
-        'ConfigWanted',
-        'ConfigRecords',
-        'ShareRequest',
-        'ShareGrant',
-        'ShareReturn',
-        'AllocateIds',
-        'IdBlock',
+        'hello',
+        'load',
+        'members',
+        'want',
+        'records',
+        'share',
+        'grant',
+        'return',
+        'alloc',
+        'block',
     )
 )
 
@@ -46,7 +37,7 @@
     Parameters
     ----------
     messages : Counter
-        Messages sent, by type, over all roles.
+        Messages sent, by tag, over all roles.
     bytes_sent : Counter
         Bytes sent, by role.
     cpu_s : Counter
@@ -80,12 +71,12 @@
         return sum(
             count
             for name, count in self.messages.items()
-            if name not in CONTROL_TYPES
+            if name not in CONTROL_TAGS
         )
 
     def wasted_messages(self) -> int:
         """Return the messages that brought no task nearer to its answer."""
-        wasted = sum(self.messages[name] for name in WASTED_TYPES)
+        wasted = sum(self.messages[name] for name in WASTED_TAGS)
         return wasted + self.dropped + self.repeated
 
 
@@ -108,7 +99,7 @@
     sizes = wire.get('bytes_sent') or {}
     reading.bytes_sent[role] += sum(sizes.values())
     reading.control_bytes[role] += sum(
-        size for name, size in sizes.items() if name in CONTROL_TYPES
+        size for name, size in sizes.items() if name in CONTROL_TAGS
     )
     reading.dropped += wire.get('replies_dropped', 0)
     reading.repeated += wire.get('requests_repeated', 0)
--- a/src/limpetlanding/standin/endpoint.py
+++ b/src/limpetlanding/standin/endpoint.py
@@ -60,7 +60,7 @@
     slow_factor : float
         Work takes this many times longer.
     silent : bool
-        Connections open now go silent for good; new ones work.
+        Connections used while this is on go silent for good.
     cut : bool
         The connection is closed after the task has started.
     crossed : bool
@@ -109,6 +109,7 @@
 
     def __post_init__(self) -> None:
         self.free_slots = asyncio.Semaphore(self.options.slots)
+        self.connections: set[int] = set()
         self.silenced: set[int] = set()
         self.running: set[asyncio.Task] = set()
 
@@ -128,6 +129,7 @@
         """Run a task, or join the call with the same idempotency key."""
         body = await request.json()
         connection = id(request.transport)
+        self.connections.add(connection)
         if self.faults.silent:
             self.silenced.add(connection)
         task_id = request.headers.get('Idempotency-Key', body['task_id'])
@@ -146,9 +148,15 @@
         return web.json_response({'ok': True, 'leaving': self.leaving})
 
     async def set_faults(self, request: web.Request) -> web.Response:
-        """Change fault switches; ``leaving`` starts a planned stop."""
+        """Change fault switches.
+
+        ``leaving`` starts a planned stop; ``silence_open`` silences for good
+        the connections that have carried a call until now.
+        """
         body = await request.json()
         self.leaving = body.pop('leaving', self.leaving)
+        if body.pop('silence_open', False):
+            self.silenced |= self.connections
         for name, value in body.items():
             setattr(self.faults, name, value)
         return web.json_response({'ok': True})
