Place tasks by predicted completion with a drawn choice of near-equals

The first version summed pending tasks per candidate and always took the best one. Waits now follow the class of the task, pending tasks are kept as sums, a nearly full agent costs the expected wait for a slot that another entry takes, and views above 32 agents are sampled.

Admission.decide takes a SystemLoad (system_load(view.values(), entries)) instead of the capacity. AgentLoad.add_pending takes the class.

--- a/src/limpetlanding/policy/__init__.py
+++ b/src/limpetlanding/policy/__init__.py
@@ -11,7 +11,14 @@
 )
 from limpetlanding.policy.ejection import OutlierDetector
 from limpetlanding.policy.estimates import Estimate, Estimator
-from limpetlanding.policy.load import LONG_MS, AgentLoad, KindLoad, Pending
+from limpetlanding.policy.load import (
+    LONG_MS,
+    AgentLoad,
+    KindLoad,
+    Pending,
+    SystemLoad,
+    system_load,
+)
 from limpetlanding.policy.moves import Move, PlacedTask, plan_moves
 from limpetlanding.policy.placement import (
     Plan,
@@ -55,6 +62,7 @@
     'RetryBudget',
     'ShareLedger',
     'SpeedTracker',
+    'SystemLoad',
     'TaskQueue',
     'Usage',
     'backoff',
@@ -67,5 +75,6 @@
     'place',
     'plan_moves',
     'retry_after',
+    'system_load',
     'wait_ms',
 )
--- a/src/limpetlanding/policy/admission.py
+++ b/src/limpetlanding/policy/admission.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from limpetlanding.jobs import Reason
+from limpetlanding.policy.load import SystemLoad
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +82,7 @@
         request: AdmissionRequest,
         limits: Limits,
         predicted_ms: float,
-        capacity: float,
+        system: SystemLoad,
         now: float,
     ) -> Admitted | Refused:
         """Admit or refuse a whole job; an admitted one is counted.
@@ -90,9 +91,8 @@
         ----------
         predicted_ms : float
             Predicted time until the last task ends (`Plan.predicted_ms`).
-        capacity : float
-            Milliseconds of work at speed 1.0 per millisecond that the usable
-            endpoints can do: the sum of slots times speed.
+        system : SystemLoad
+            Load of all usable agents, from `system_load`.
         now : float
             Monotonic seconds.
         """
@@ -128,7 +128,7 @@
         request: AdmissionRequest,
         limits: Limits,
         predicted_ms: float,
-        capacity: float,
+        system: SystemLoad,
         now: float,
     ) -> Admitted | Refused:
         """Admit and count the job."""
--- a/src/limpetlanding/policy/load.py
+++ b/src/limpetlanding/policy/load.py
@@ -1,5 +1,6 @@
 """Load of an agent as an entry sees it."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from limpetlanding.wire import EndpointLoad, LoadReport
@@ -26,7 +27,7 @@
     serving: bool = False
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Pending:
     """A task placed since the last report."""
 
@@ -35,13 +36,13 @@
     is_long: bool
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class AgentLoad:
     """Load of one agent: its last report and what was placed since.
 
     Work (``queued_short_ms``, ``queued_long_ms``) is the sum of expected run
     times at speed 1.0 in milliseconds, without the running tasks. Clock
-    values are monotonic seconds.
+    values are monotonic seconds. ``pending_*`` sum up ``pending``.
     """
 
     agent: str
@@ -52,11 +53,14 @@
     queued_short_ms: float = 0
     queued_long_ms: float = 0
     long_busy: int = 0
-    pending: list[Pending] = field(default_factory=list)
+    pending: dict[int, Pending] = field(default_factory=dict)
     suspect: bool = False
     draining: bool = False
     ejected: bool = False
     by_kind: dict[str, KindLoad] = field(default_factory=dict)
+    pending_short_ms: float = 0
+    pending_long_ms: float = 0
+    pending_long: int = 0
 
     def __post_init__(self) -> None:
         self.refresh()
@@ -74,18 +78,30 @@
         self.long_busy = report.long_busy
         self.draining = report.draining
         settled = now - PENDING_SETTLE_MS / 1000
-        self.pending = [p for p in self.pending if p.placed_at > settled]
+        kept = [x for x in self.pending.values() if x.placed_at > settled]
+        self.pending = {}
+        self.pending_short_ms = 0
+        self.pending_long_ms = 0
+        self.pending_long = 0
+        for pending in kept:
+            self._count(pending)
         self.refresh()
 
-    def add_pending(self, expected_ms: float, now: float) -> Pending:
+    def add_pending(self, work_ms: float, is_long: bool, now: float) -> Pending:
         """Count a task placed here at `now`."""
-        pending = Pending(now, expected_ms, expected_ms >= LONG_MS)
-        self.pending.append(pending)
+        pending = Pending(now, work_ms, is_long)
+        self._count(pending)
         return pending
 
     def drop_pending(self, pending: Pending) -> None:
         """Take back `add_pending`; a no-op once a report settled it."""
-        self.pending = [p for p in self.pending if p is not pending]
+        if self.pending.pop(id(pending), None) is None:
+            return
+        if pending.is_long:
+            self.pending_long_ms -= pending.work_ms
+            self.pending_long -= 1
+        else:
+            self.pending_short_ms -= pending.work_ms
 
     def refresh(self) -> None:
         """Sum up the endpoints by kind; needed after changing them."""
@@ -95,6 +111,47 @@
                 total = self.by_kind.setdefault(kind, KindLoad())
                 _add_endpoint(total, endpoint)
 
+    def _count(self, pending: Pending) -> None:
+        self.pending[id(pending)] = pending
+        if pending.is_long:
+            self.pending_long_ms += pending.work_ms
+            self.pending_long += 1
+        else:
+            self.pending_short_ms += pending.work_ms
+
+
+@dataclass(frozen=True, slots=True)
+class SystemLoad:
+    """Load of all usable agents together.
+
+    Parameters
+    ----------
+    capacity : float
+        Milliseconds of work at speed 1.0 done per millisecond when all
+        slots are busy: the sum of slots times speed.
+    backlog_ms : float
+        Time that the queued work takes at full capacity.
+    entries : int
+        Live entries; each is taken to see an equal part of the demand.
+    """
+
+    capacity: float
+    backlog_ms: float
+    entries: int = 1
+
+
+def system_load(loads: Iterable[AgentLoad], entries: int = 1) -> SystemLoad:
+    """Sum up a view; O(agents), so meant for once per report interval."""
+    capacity: float = 0
+    queued_ms: float = 0
+    for load in loads:
+        if load.usable:
+            serving = [x for x in load.endpoints if x.serving]
+            capacity += sum(x.slots * x.speed for x in serving)
+            queued_ms += load.queued_short_ms + load.queued_long_ms
+    backlog_ms = queued_ms / capacity if capacity else float('inf')
+    return SystemLoad(capacity, backlog_ms, entries)
+
 
 def _add_endpoint(total: KindLoad, endpoint: EndpointLoad) -> None:
     if not endpoint.serving:
@@ -103,8 +160,11 @@
     if slots:
         work = total.speed * total.slots + endpoint.speed * endpoint.slots
         total.speed = work / slots
-    unlimited = endpoint.max_size == 0 or (total.serving and not total.max_size)
-    total.max_size = 0 if unlimited else max(total.max_size, endpoint.max_size)
+    unlimited = total.serving and total.max_size == 0
+    if unlimited or endpoint.max_size == 0:
+        total.max_size = 0
+    else:
+        total.max_size = max(total.max_size, endpoint.max_size)
     total.slots = slots
     total.busy += endpoint.busy
     total.serving = True
--- a/src/limpetlanding/policy/placement.py
+++ b/src/limpetlanding/policy/placement.py
@@ -5,12 +5,33 @@
 from random import Random
 
 from limpetlanding.jobs import Reason
-from limpetlanding.policy.load import AgentLoad, Pending
+from limpetlanding.policy.load import LONG_MS, AgentLoad, KindLoad, Pending
+from limpetlanding.policy.waits import (
+    SlotLoad,
+    long_slots,
+    predict_wait_ms,
+    short_wait_ms,
+)
 from limpetlanding.wire import Placement, TaskSpec
 
 CROSSING_MS = 1.5
 """One-way delay between failure domains."""
 
+NEAR_MS = 4
+NEAR_SHARE = 0.05
+"""Candidates within 4 ms + 5% of the best completion time count as equal."""
+
+SLOT_TAKEN = 0.3
+"""Chance that a slot seen as free is taken by another entry before the task
+arrives; with three entries and reports every 20 ms."""
+
+MANY_FREE = 4
+"""With this many free slots the cost of a taken one is below 1 ms."""
+
+MAX_CANDIDATES = 16
+"""Views with more agents than this are sampled, so that the cost of a task
+does not grow with the system."""
+
 
 @dataclass(slots=True)
 class Plan:
@@ -33,6 +54,14 @@
         self.counted = []
 
 
+@dataclass(frozen=True, slots=True)
+class _Site:
+    """Where a task is placed from."""
+
+    domain: str
+    crossing_ms: float
+
+
 def place(
     tasks: Sequence[TaskSpec],
     view: Mapping[str, AgentLoad],
@@ -53,7 +82,8 @@
     own_domain : str
         Failure domain of the entry.
     rng : random.Random
-        Draws among near-equal candidates.
+        Draws among near-equal candidates, so that entries with views of the
+        same age do not all take the same slot.
     now : float
         Monotonic seconds.
     avoid : collection of str
@@ -62,20 +92,18 @@
         One-way delay between failure domains.
     """
     plan = Plan()
+    loads = list(view.values())
+    site = _Site(own_domain, crossing_ms)
     for task in tasks:
-        loads = [x for x in view.values() if can_run(task, x)]
-        loads = [x for x in loads if x.agent not in avoid] or loads
-        if not loads:
+        load, ms = _best(task, _candidates(task, loads, avoid, rng), site, rng)
+        if load is None:
             plan.placements.append(None)
             continue
-        best_ms, _, best = min(
-            (completion_ms(task, x, own_domain, crossing_ms), rng.random(), x)
-            for x in loads
-        )
-        pending = best.add_pending(task.expected_ms, now)
-        plan.counted.append((best, pending))
-        plan.predicted_ms = max(plan.predicted_ms, best_ms)
-        plan.placements.append(_placement(task, best))
+        is_long = task.expected_ms >= LONG_MS * load.by_kind[task.kind].speed
+        pending = load.add_pending(task.expected_ms, is_long, now)
+        plan.counted.append((load, pending))
+        plan.predicted_ms = max(plan.predicted_ms, ms)
+        plan.placements.append(_placement(task, load))
     return plan
 
 
@@ -116,6 +144,10 @@
     `NO_ENDPOINT` and `TOO_LARGE` mean that it can never run as the system
     is known; `ENDPOINT_AWAY` that it can once an endpoint is back.
     `known_kinds` are kinds seen at agents that have left the view.
+
+    See Also
+    --------
+    place : gives None for such a task.
     """
     kinds = [
         load.by_kind[task.kind]
@@ -127,7 +159,7 @@
             return Reason.ENDPOINT_AWAY
         return Reason.NO_ENDPOINT
     serving = [kind for kind in kinds if kind.serving]
-    if serving and not any(_fits(task, kind.max_size) for kind in serving):
+    if serving and not any(_fits(task, kind) for kind in serving):
         return Reason.TOO_LARGE
     return Reason.ENDPOINT_AWAY
 
@@ -137,7 +169,7 @@
     kind = load.by_kind.get(task.kind)
     if kind is None or not load.usable:
         return False
-    return kind.serving and kind.slots > 0 and _fits(task, kind.max_size)
+    return kind.serving and kind.slots > 0 and _fits(task, kind)
 
 
 def completion_ms(
@@ -146,24 +178,86 @@
     own_domain: str,
     crossing_ms: float = CROSSING_MS,
 ) -> float:
-    """Predict the time until the task ends at this agent."""
-    kind = load.by_kind[task.kind]
-    run_ms = task.expected_ms / kind.speed
+    """Predict the time until the task ends at this agent, in ms."""
+    speed = load.by_kind[task.kind].speed
     cross_ms = 0 if load.failure_domain == own_domain else 2 * crossing_ms
-    return wait_ms(task, load) + run_ms + cross_ms
+    return wait_ms(task, load) + task.expected_ms / speed + cross_ms
 
 
 def wait_ms(task: TaskSpec, load: AgentLoad) -> float:
-    """Predict how long the task is queued at this agent."""
+    """Predict how long the task is queued at this agent, in ms.
+
+    A slot seen as free may be gone when the task arrives. Its expected cost
+    is the wait of a full agent times the chance that other entries have
+    taken all free slots; it keeps fast agents from being filled to the last
+    slot while others are idle.
+    """
     kind = load.by_kind[task.kind]
-    work_ms = load.queued_short_ms + sum(p.work_ms for p in load.pending)
-    if kind.busy + len(load.pending) < kind.slots:
+    free = kind.slots - kind.busy - len(load.pending)
+    is_long = task.expected_ms >= LONG_MS * kind.speed
+    if free >= MANY_FREE and not is_long:
         return 0
-    return (work_ms + task.expected_ms) / (kind.slots * kind.speed)
+    slots = _slot_load(kind, load, free)
+    if is_long:
+        allowed = long_slots(kind.slots) - slots.long_busy
+        if allowed <= 0 or free <= 0:
+            return predict_wait_ms(slots, is_long=True)
+    elif free <= 0:
+        return short_wait_ms(slots)
+    return short_wait_ms(slots) * SLOT_TAKEN**free
+
+
+def _slot_load(kind: KindLoad, load: AgentLoad, free: int) -> SlotLoad:
+    # Pending tasks beyond the free slots are queued: their part of the
+    # pending work is counted as such.
+    queued_part = min(1, -free / len(load.pending)) if free < 0 else 0
+    if not load.pending:
+        queued_part = 0
+    return SlotLoad(
+        kind.slots,
+        kind.speed,
+        kind.slots - max(free, 0),
+        min(load.long_busy + load.pending_long, kind.slots),
+        load.queued_short_ms + load.pending_short_ms * queued_part,
+        load.queued_long_ms + load.pending_long_ms * queued_part,
+        fresh=len(load.pending),
+    )
+
+
+def _candidates(
+    task: TaskSpec,
+    loads: list[AgentLoad],
+    avoid: Collection[str],
+    rng: Random,
+) -> list[AgentLoad]:
+    count = len(loads)
+    if count > 2 * MAX_CANDIDATES and not avoid:
+        drawn = {int(rng.random() * count) for _ in range(MAX_CANDIDATES)}
+        # Sorted, because the order of a set is not part of the seed.
+        sample = [loads[i] for i in sorted(drawn)]
+        sample = [x for x in sample if can_run(task, x)]
+        if len(sample) * 2 >= MAX_CANDIDATES:
+            return sample
+    possible = [x for x in loads if can_run(task, x)]
+    return [x for x in possible if x.agent not in avoid] or possible
+
+
+def _best(
+    task: TaskSpec, loads: list[AgentLoad], site: _Site, rng: Random
+) -> tuple[AgentLoad | None, float]:
+    if not loads:
+        return None, 0
+    times = [
+        completion_ms(task, x, site.domain, site.crossing_ms) for x in loads
+    ]
+    limit_ms = min(times) * (1 + NEAR_SHARE) + NEAR_MS
+    near = [i for i, ms in enumerate(times) if ms <= limit_ms]
+    drawn = near[int(rng.random() * len(near))]
+    return loads[drawn], times[drawn]
 
 
-def _fits(task: TaskSpec, max_size: int) -> bool:
-    return max_size == 0 or task.size <= max_size
+def _fits(task: TaskSpec, kind: KindLoad) -> bool:
+    return kind.max_size == 0 or task.size <= kind.max_size
 
 
 def _placement(task: TaskSpec, load: AgentLoad) -> Placement:
