Queue short before long with fair shares between customers

TaskQueue now orders by class, by weighted start-time fair queueing between customers and by deadline within a customer; it ages long tasks and hands out tasks that cannot be on time any more.

--- a/src/limpetlanding/policy/queueing.py
+++ b/src/limpetlanding/policy/queueing.py
@@ -1,13 +1,35 @@
 """Queue of an agent's executor."""
 
 from collections.abc import Callable, Container, Hashable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from heapq import heapify, heappop, heappush, heapreplace
+from itertools import chain, count
 from typing import Any
 
 from limpetlanding.policy.load import LONG_MS
+from limpetlanding.policy.waits import (
+    SlotLoad,
+    long_slots,
+    predict_wait_ms,
+)
 
-LONG_SHARE = 0.75
-"""Share of the slots that long work may occupy."""
+AGED_MS = 1000
+"""A long task that has waited this long takes its turn before short work, as
+long as it leaves half of the slots of long work to that rule."""
+
+PATIENCE_S = 30
+"""Tasks without a deadline are ordered as if they had this one, so that they
+are not passed for ever by the customer's tasks that have one."""
+
+HOPELESS_SHARE = 0.8
+"""A task with less time left than this share of its expected run time is
+handed out as expired: its answer would be late, and at overload such work
+takes the slots of work that can still be on time. The rest of the share is
+tolerance for estimates that are too high."""
+
+_MIN_GARBAGE = 16
+_MAX_IDLE_CUSTOMERS = 64
+_MIN_WEIGHT = 0.001
 
 
 @dataclass(slots=True)
@@ -36,12 +58,16 @@
     weight: float = 1.0
     item: Any = None
     pushed_at: float = 0
+    started_at: float = 0
+    latest_start: float = float('inf')
     is_long: bool = False
 
 
 class FifoQueue:
     """First come, first served; the naive version of `TaskQueue`.
 
+    Clock values are monotonic seconds.
+
     Parameters
     ----------
     slots : int
@@ -74,11 +100,18 @@
         self.speed = speed
 
     def push(self, task: QueuedTask, now: float) -> None:
-        """Queue a task; its key must not be queued already."""
+        """Queue a task.
+
+        Raises
+        ------
+        ValueError
+            If a task with this key is queued already.
+        """
         if task.key in self.waiting:
             raise ValueError(f'task {task.key!r} is queued already')
         task.pushed_at = now
         task.is_long = task.expected_ms >= LONG_MS * self.speed
+        task.latest_start = task.deadline
         self.waiting[task.key] = task
         self._count(task, 1)
 
@@ -92,13 +125,8 @@
         is free.
         """
         for task in self.waiting.values():
-            if task.deadline <= now:
-                continue
-            if (kinds is None or task.kind in kinds) and self._startable(task):
-                self._take(task.key)
-                self.running[task.key] = task
-                self.long_busy += task.is_long
-                return task
+            if task.deadline > now and (kinds is None or task.kind in kinds):
+                return self._start(task, now)
         return None
 
     def finished(self, key: Hashable) -> None:
@@ -112,19 +140,28 @@
         return self._take(key) if key in self.waiting else None
 
     def expired(self, now: float) -> list[QueuedTask]:
-        """Take out the tasks whose deadline has passed."""
+        """Take out the tasks that are too late to start."""
         late = [x.key for x in self.waiting.values() if x.deadline <= now]
         return [self._take(key) for key in late]
 
     def predicted_wait_ms(self, expected_ms: float, now: float) -> float:
         """Predict how long a task pushed now would be queued."""
-        if len(self.running) + len(self.waiting) < self.slots:
-            return 0
-        work_ms = self.queued_short_ms + self.queued_long_ms
-        return work_ms / max(self.slots * self.speed, 0.01)
+        load = SlotLoad(
+            self.slots,
+            self.speed,
+            len(self.running),
+            self.long_busy,
+            self.queued_short_ms,
+            self.queued_long_ms,
+        )
+        return predict_wait_ms(load, expected_ms >= LONG_MS * self.speed)
 
-    def _startable(self, task: QueuedTask) -> bool:
-        return True
+    def _start(self, task: QueuedTask, now: float) -> QueuedTask:
+        self._take(task.key)
+        task.started_at = now
+        self.running[task.key] = task
+        self.long_busy += task.is_long
+        return task
 
     def _take(self, key: Hashable) -> QueuedTask:
         task = self.waiting.pop(key)
@@ -139,19 +176,263 @@
 
 
 class TaskQueue(FifoQueue):
-    """Short before long, fair between customers; see `FifoQueue`."""
+    """Short work before long work, fair between customers.
+
+    - Work expected to run 1,000 ms or more at the speed of the slots is
+      long. It takes at most three quarters of the slots (`long_slots`), so
+      that short work never waits for a run of long tasks to end. Short tasks
+      that overrun into the long class count against that limit as well.
+    - Short work goes first, but a long task that has waited `AGED_MS` goes
+      before it until half of the long slots are taken.
+    - Within a class, customers share by weight (start-time fair queueing on
+      the expected run time); the tasks of one customer go by deadline, which
+      takes nothing from the others.
+    - Push, pop and remove are O(log n), amortised.
 
-    def _startable(self, task: QueuedTask) -> bool:
-        return not task.is_long or self.long_busy < self.long_slots
+    See Also
+    --------
+    FifoQueue : the interface.
+
+    References
+    ----------
+    P. Goyal, H. Vin, H. Cheng: Start-time Fair Queueing, 1996.
+    """
+
+    def __init__(self, slots: int, speed: float = 1.0) -> None:
+        super().__init__(slots, speed)
+        self.sequence = count()
+        self.short = _FairClass()
+        self.long = _FairClass()
+        self.by_latest_start = _LazyHeap()
+        self.long_by_age = _LazyHeap()
+        self.late: dict[Hashable, QueuedTask] = {}
+
+    def __len__(self) -> int:
+        return len(self.waiting) + len(self.late)
+
+    def __contains__(self, key: Hashable) -> bool:
+        return key in self.waiting or key in self.late
+
+    def __iter__(self) -> Iterator[QueuedTask]:
+        return chain(self.waiting.values(), self.late.values())
+
+    def push(self, task: QueuedTask, now: float) -> None:
+        """Queue a task; see `FifoQueue.push`."""
+        if task.key in self.late:
+            raise ValueError(f'task {task.key!r} is queued already')
+        super().push(task, now)
+        run_s = task.expected_ms / self.speed / 1000
+        task.latest_start = task.deadline - HOPELESS_SHARE * run_s
+        number = next(self.sequence)
+        self._class(task).push(task, number)
+        self.by_latest_start.push(task.latest_start, number, task)
+        if task.is_long:
+            self.long_by_age.push(task.pushed_at, number, task)
+
+    def pop(
+        self, now: float, kinds: Container[str] | None = None
+    ) -> QueuedTask | None:
+        """Take the next task to start; see `FifoQueue.pop`."""
+        self._set_late_aside(now)
+        long_allowed = self._long_allowed(now)
+        classes = [self.short]
+        if long_allowed:
+            classes.insert(0 if self._long_first(now) else 1, self.long)
+        for fair in classes:
+            task = fair.pop(kinds, self.waiting)
+            if task is not None:
+                return self._start(task, now)
+        return None
+
+    def remove(self, key: Hashable) -> QueuedTask | None:
+        """Take a queued task out; None if the key is not queued."""
+        late = self.late.pop(key, None)
+        if late is not None or key not in self.waiting:
+            return late
+        return self._take(key)
+
+    def expired(self, now: float) -> list[QueuedTask]:
+        """Take out the tasks that cannot be on time any more."""
+        self._set_late_aside(now)
+        late = list(self.late.values())
+        self.late = {}
+        return late
+
+    def _set_late_aside(self, now: float) -> None:
+        while self.by_latest_start.first(self.waiting) <= now:
+            task = self.by_latest_start.pop()
+            self._take(task.key)
+            self.late[task.key] = task
+
+    def _take(self, key: Hashable) -> QueuedTask:
+        task = super()._take(key)
+        self._class(task).removed(task, self.waiting)
+        self.by_latest_start.compact(self.waiting, len(self.waiting))
+        self.long_by_age.compact(self.waiting, len(self.waiting))
+        return task
 
-    @property
-    def long_slots(self) -> int:
-        """Slots that long work may occupy at most."""
-        return max(1, int(self.slots * LONG_SHARE))
+    def _long_allowed(self, now: float) -> bool:
+        limit = long_slots(self.slots)
+        if not self.queued_long_ms or self.long_busy >= limit:
+            return False
+        overrun_at = now - LONG_MS / 1000
+        running = self.running.values()
+        return limit > sum(
+            x.is_long or x.started_at <= overrun_at for x in running
+        )
+
+    def _long_first(self, now: float) -> bool:
+        if self.long_busy * 2 >= long_slots(self.slots):
+            return False
+        oldest = self.long_by_age.first(self.waiting)
+        return now - oldest >= AGED_MS / 1000
+
+    def _class(self, task: QueuedTask) -> '_FairClass':
+        return self.long if task.is_long else self.short
+
+
+@dataclass(slots=True)
+class _LazyHeap:
+    """Heap of tasks that forgets tasks no longer waiting when it meets them."""
+
+    entries: list[tuple[float, int, QueuedTask]] = field(default_factory=list)
+
+    def push(self, value: float, number: int, task: QueuedTask) -> None:
+        heappush(self.entries, (value, number, task))
+
+    def first(self, waiting: dict[Hashable, QueuedTask]) -> float:
+        """Return the least value of a waiting task, infinity if none."""
+        entries = self.entries
+        while entries and waiting.get(entries[0][2].key) is not entries[0][2]:
+            heappop(entries)
+        return entries[0][0] if entries else float('inf')
+
+    def pop(self) -> QueuedTask:
+        return heappop(self.entries)[2]
+
+    def compact(self, waiting: dict[Hashable, QueuedTask], live: int) -> None:
+        """Drop what is not waiting once it is more than half."""
+        if len(self.entries) > 2 * live + _MIN_GARBAGE:
+            self.entries = [
+                x for x in self.entries if waiting.get(x[2].key) is x[2]
+            ]
+            heapify(self.entries)
+
+
+@dataclass(slots=True)
+class _Customer:
+    """Virtual start time of a customer's next task, and its flows by kind."""
+
+    start: float = 0
+    live: int = 0
+    flows: dict[str, '_Flow'] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class _Flow:
+    """Queued tasks of one customer and kind."""
+
+    customer: _Customer
+    kind: str
+    tasks: _LazyHeap = field(default_factory=_LazyHeap)
+    live: int = 0
+
+
+@dataclass(slots=True)
+class _FairClass:
+    """Start-time fair queue between customers, with kinds as filter.
+
+    `active` has per kind a heap of (virtual start, number, flow), one entry
+    per flow. A start that is out of date is too low, so it is corrected when
+    it gets to the top. An empty flow is dropped there as well.
+    """
+
+    virtual: float = 0
+    customers: dict[str, _Customer] = field(default_factory=dict)
+    active: dict[str, list[tuple[float, int, _Flow]]] = field(
+        default_factory=dict
+    )
+
+    def push(self, task: QueuedTask, number: int) -> None:
+        customer = self.customers.get(task.customer)
+        if customer is None:
+            self._forget_idle_customers()
+            customer = _Customer(self.virtual)
+            self.customers[task.customer] = customer
+        if customer.live == 0:
+            customer.start = max(customer.start, self.virtual)
+        flow = customer.flows.get(task.kind)
+        if flow is None:
+            flow = _Flow(customer, task.kind)
+            customer.flows[task.kind] = flow
+            heap = self.active.setdefault(task.kind, [])
+            heappush(heap, (customer.start, number, flow))
+        due = min(task.deadline, task.pushed_at + PATIENCE_S)
+        flow.tasks.push(due, number, task)
+        flow.live += 1
+        customer.live += 1
+
+    def pop(
+        self,
+        kinds: Container[str] | None,
+        waiting: dict[Hashable, QueuedTask],
+    ) -> QueuedTask | None:
+        """Return the next task; the caller takes it out of `waiting`."""
+        allowed = [x for x in self.active if kinds is None or x in kinds]
+        heads = [head for x in allowed if (head := self._head(x))]
+        if not heads:
+            return None
+        flow = min(heads)[2]
+        flow.tasks.first(waiting)
+        task = flow.tasks.pop()
+        self.virtual = flow.customer.start
+        cost_ms = max(task.expected_ms, 1) / max(task.weight, _MIN_WEIGHT)
+        flow.customer.start += cost_ms
+        return task
+
+    def removed(
+        self, task: QueuedTask, waiting: dict[Hashable, QueuedTask]
+    ) -> None:
+        """Count a task that has left `waiting`."""
+        customer = self.customers[task.customer]
+        flow = customer.flows[task.kind]
+        flow.live -= 1
+        customer.live -= 1
+        flow.tasks.compact(waiting, flow.live)
+
+    def _head(self, kind: str) -> tuple[float, int, _Flow] | None:
+        heap = self.active[kind]
+        while heap:
+            start, number, flow = heap[0]
+            if flow.live == 0:
+                heappop(heap)
+                flow.customer.flows.pop(kind)
+            elif start < flow.customer.start:
+                heapreplace(heap, (flow.customer.start, number, flow))
+            else:
+                return heap[0]
+        self.active.pop(kind)
+        return None
+
+    def _forget_idle_customers(self) -> None:
+        # A customer whose start is ahead has had more than its part; it is
+        # kept until the others have caught up.
+        if len(self.customers) >= _MAX_IDLE_CUSTOMERS:
+            self.customers = {
+                name: x
+                for name, x in self.customers.items()
+                if x.flows or x.start > self.virtual
+            }
 
 
 def make_queue(policy: str, slots: int, speed: float = 1.0) -> FifoQueue:
-    """Return the queue of the settings key ``policy``."""
+    """Return the queue for the settings key ``policy``.
+
+    Examples
+    --------
+    >>> type(make_queue('naive', slots=8)).__name__
+    'FifoQueue'
+    """
     queues: dict[str, Callable[[int, float], FifoQueue]] = {
         'limpetlanding': TaskQueue,
         'naive': FifoQueue,
