--- /dev/null
+++ b/src/limpetlanding/agent/calls.py
@@ -0,0 +1,306 @@
+"""Calls of tasks at endpoints over HTTP."""
+
+import asyncio
+import json
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from math import inf
+from typing import Any
+
+import aiohttp
+
+from limpetlanding.agent.endpoints import Endpoint
+from limpetlanding.agent.options import EndpointOptions
+from limpetlanding.jobs import Reason, TaskState
+from limpetlanding.wire import TaskReport, TaskResult, TaskSpec
+
+INCARNATION_HEADER = 'X-Endpoint-Incarnation'
+"""An endpoint that announces ``repeat_by_id`` answers 412 without starting
+the task if this is not its incarnation. Otherwise a restarted endpoint, which
+has no memory of the first call, would start a repeated task again."""
+
+MAX_RESULT_BYTES = 1024 * 1024
+_PROOF_STEP_S = 0.1
+_MAX_CROSSED = 3
+_MAX_DETAIL = 500
+_OK = 200
+_WRONG_INCARNATION = 412
+_NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+_MAY_HAVE_LEFT = (aiohttp.ClientError, OSError, ValueError)
+
+
+@dataclass(slots=True)
+class Call:
+    """One task to be called; `deadline` is in monotonic seconds."""
+
+    job_id: str
+    spec: TaskSpec
+    deadline: float
+    queue_ms: float = 0
+    traceparent: str = ''
+
+    @property
+    def task_id(self) -> str:
+        """Id of the task at the endpoint."""
+        return f'{self.job_id}/{self.spec.index}'
+
+
+@dataclass(slots=True)
+class _Answer:
+    status: int
+    body: dict[str, Any]
+
+
+class _NoAnswer(Exception):
+    """The connection brought no answer to this task.
+
+    `alive_since` is the time from which on an announcement proves that the
+    endpoint still has the call; None if the request never left.
+    """
+
+    def __init__(self, detail: str, alive_since: float | None) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.alive_since = alive_since
+
+
+@dataclass(slots=True)
+class Caller:
+    """Calls endpoints and says for certain what is known of each task."""
+
+    agent: str
+    clock: Callable[[], float]
+    options: EndpointOptions = field(default_factory=EndpointOptions)
+    counters: Counter[str] = field(default_factory=Counter)
+
+    async def call(self, endpoint: Endpoint, call: Call) -> TaskReport:
+        """Run one task and return its final report.
+
+        The report is ``not_started`` only if no request can have left.
+        """
+        started = self.clock()
+        attempts = 0
+        while True:
+            attempts += 1
+            try:
+                answer = await self._attempt(endpoint, call, attempts)
+            except _NoAnswer as failure:
+                report = await self._given_up(endpoint, call, failure, attempts)
+            else:
+                report = self._report(endpoint, call, answer, attempts)
+                self._learn(endpoint, call, report, started)
+            if report is not None:
+                return report
+            self.counters['repeats_by_id'] += 1
+
+    async def _given_up(
+        self, endpoint: Endpoint, call: Call, failure: _NoAnswer, attempts: int
+    ) -> TaskReport | None:
+        """Return the final report, or None if the call may be repeated."""
+        if failure.alive_since is None and attempts == 1:
+            endpoint.suspect = True
+            return _not_started(call, failure.detail)
+        if await self._may_repeat(endpoint, call, failure):
+            return None
+        return self._unknown(endpoint, call, failure.detail)
+
+    async def _attempt(
+        self, endpoint: Endpoint, call: Call, attempt: int
+    ) -> _Answer:
+        connections = endpoint.connections
+        started = self.clock()
+        session = await connections.take(fresh=attempt > 1)
+        post = asyncio.create_task(self._post(session, endpoint, call))
+        whole = False
+        try:
+            await self._wait(post, endpoint, call)
+            if not post.done():
+                raise _NoAnswer('no answer in time', started)
+            answer = post.result()
+            whole = answer.body.get('task_id') == call.task_id
+        finally:
+            if whole:
+                connections.give_back(session)
+            else:
+                post.cancel()
+                await connections.discard(session)
+        if not whole:
+            self.counters['answers_of_other_tasks'] += 1
+            # The endpoint has just answered, so it is alive; an endpoint that
+            # never names the right task is given up after a few repeats.
+            given_up = attempt >= _MAX_CROSSED
+            raise _NoAnswer(
+                'the answer is of another task', inf if given_up else 0
+            )
+        return answer
+
+    async def _wait(
+        self, post: asyncio.Task[_Answer], endpoint: Endpoint, call: Call
+    ) -> None:
+        """Wait for the answer, the deadline, or silence that allows a repeat.
+
+        A silent call is given up only if the endpoint has announced itself
+        since the call began; until then its answer may still come.
+        """
+        started = self.clock()
+        step_s = self.options.silence_s
+        while not post.done():
+            left_s = call.deadline - self.clock()
+            if left_s <= 0 or endpoint.superseded.done():
+                return
+            if not endpoint.announced.repeat_by_id:
+                step_s = left_s
+            await asyncio.wait(
+                (post, endpoint.superseded),
+                timeout=min(step_s, left_s),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            silent_s = self.clock() - started
+            silent = silent_s >= self.options.silence_s and not post.done()
+            if silent and _proven(endpoint, started):
+                self.counters['silent_calls'] += 1
+                await endpoint.connections.discard_idle()
+                return
+            step_s = _PROOF_STEP_S
+
+    async def _post(
+        self, session: aiohttp.ClientSession, endpoint: Endpoint, call: Call
+    ) -> _Answer:
+        headers = {
+            'Idempotency-Key': call.task_id,
+            'Content-Type': 'application/json',
+            INCARNATION_HEADER: endpoint.announced.incarnation,
+        }
+        if call.traceparent:
+            headers['traceparent'] = call.traceparent
+        url = f'{endpoint.announced.address}/v1/run'
+        try:
+            # A redirect would send the task a second time.
+            async with session.post(
+                url,
+                data=self._body(call),
+                headers=headers,
+                allow_redirects=False,
+            ) as response:
+                content = await response.read()
+        except _NOT_SENT as error:
+            raise _NoAnswer(str(error), None) from error
+        except _MAY_HAVE_LEFT as error:
+            # A cut may mean that the endpoint died; only an announcement
+            # after it shows that the endpoint was not restarted.
+            raise _NoAnswer(repr(error), self.clock()) from error
+        return _Answer(response.status, _parse(content))
+
+    def _body(self, call: Call) -> bytes:
+        left_ms = max(0, (call.deadline - self.clock()) * 1000)
+        head = json.dumps(
+            {
+                'task_id': call.task_id,
+                'kind': call.spec.kind,
+                'deadline_ms': round(left_ms, 3),
+            }
+        )
+        # The payload is a JSON text already.
+        return b'%b, "payload": %b}' % (head[:-1].encode(), call.spec.payload)
+
+    async def _may_repeat(
+        self, endpoint: Endpoint, call: Call, failure: _NoAnswer
+    ) -> bool:
+        """Wait for proof that the same incarnation lives on."""
+        since = failure.alive_since
+        if not endpoint.announced.repeat_by_id or since is None:
+            return False
+        until = min(call.deadline, self.clock() + self.options.proof_s)
+        while not _proven(endpoint, since):
+            if self.clock() >= until or not endpoint.current:
+                return False
+            await asyncio.sleep(_PROOF_STEP_S)
+        return self.clock() < call.deadline
+
+    def _report(
+        self, endpoint: Endpoint, call: Call, answer: _Answer, attempts: int
+    ) -> TaskReport:
+        if answer.status == _WRONG_INCARNATION:
+            if attempts > 1:
+                return self._unknown(endpoint, call, 'endpoint restarted')
+            return _not_started(call, 'another incarnation answered')
+        body = answer.body
+        if answer.status != _OK:
+            return _error(
+                call,
+                Reason.TASK_ERROR,
+                str(body.get('error', ''))[:_MAX_DETAIL],
+                str(body.get('blame', 'endpoint')),
+            )
+        payload = json.dumps(body.get('payload'), separators=(',', ':'))
+        encoded = payload.encode()
+        if len(encoded) > MAX_RESULT_BYTES:
+            detail = f'result of {len(encoded)} bytes'
+            return _error(call, Reason.TOO_LARGE, detail, 'customer')
+        run_ms = body.get('run_ms')
+        result = TaskResult(
+            call.spec.index,
+            encoded,
+            float(run_ms) if isinstance(run_ms, int | float) else 0,
+            call.queue_ms,
+            self.agent,
+            endpoint.announced.endpoint_id,
+        )
+        return TaskReport(call.spec.index, TaskState.DONE, result=result)
+
+    def _learn(
+        self,
+        endpoint: Endpoint,
+        call: Call,
+        report: TaskReport,
+        started: float,
+    ) -> None:
+        result = report.result
+        if result is None:
+            return
+        # An endpoint need not tell its run time.
+        result.run_ms = result.run_ms or (self.clock() - started) * 1000
+        endpoint.speed.observe(call.spec.expected_ms, result.run_ms)
+        result.speed = endpoint.speed.speed
+
+    def _unknown(
+        self, endpoint: Endpoint, call: Call, detail: str
+    ) -> TaskReport:
+        self.counters['unknown_calls'] += 1
+        late = self.clock() >= call.deadline
+        reason = Reason.DEADLINE if late else Reason.ENDPOINT_AWAY
+        where = endpoint.announced.endpoint_id
+        return TaskReport(
+            call.spec.index,
+            TaskState.UNKNOWN,
+            reason,
+            detail=f'endpoint {where}: {detail}',
+        )
+
+
+def _proven(endpoint: Endpoint, since: float) -> bool:
+    return endpoint.current and endpoint.announced_at > since
+
+
+def _not_started(call: Call, detail: str) -> TaskReport:
+    return TaskReport(
+        call.spec.index,
+        TaskState.NOT_STARTED,
+        Reason.ENDPOINT_AWAY,
+        detail=detail,
+    )
+
+
+def _error(call: Call, reason: str, detail: str, blame: str) -> TaskReport:
+    return TaskReport(
+        call.spec.index, TaskState.ERROR, reason, detail=detail, blame=blame
+    )
+
+
+def _parse(content: bytes) -> dict[str, Any]:
+    try:
+        body = json.loads(content)
+    except ValueError:
+        return {}
+    return body if isinstance(body, dict) else {}
--- /dev/null
+++ b/src/limpetlanding/agent/connections.py
@@ -0,0 +1,74 @@
+"""HTTP connections to one endpoint, each in a session of its own.
+
+A session with exactly one connection lets the agent choose between an idle
+connection and a new one, and close the one that went silent or delivered
+the answer of another task. A shared connection pool offers neither.
+"""
+
+from dataclasses import dataclass, field
+
+import aiohttp
+
+
+@dataclass(slots=True)
+class Connections:
+    """At most `limit` connections to one endpoint."""
+
+    limit: int
+    connect_timeout_s: float
+    keepalive_s: float
+    idle: list[aiohttp.ClientSession] = field(default_factory=list)
+    used: set[aiohttp.ClientSession] = field(default_factory=set)
+
+    @property
+    def full(self) -> bool:
+        """Whether every connection is in use."""
+        return len(self.used) >= self.limit
+
+    async def take(self, *, fresh: bool = False) -> aiohttp.ClientSession:
+        """Return an idle connection, or a new one if `fresh` or none is idle.
+
+        The caller ends with `give_back` or `discard`. Callers never take
+        more than `limit` at a time.
+        """
+        reuse = self.idle and not fresh
+        session = self.idle.pop() if reuse else self._open()
+        self.used.add(session)
+        while self.idle and len(self.idle) + len(self.used) > self.limit:
+            await self.idle.pop(0).close()
+        return session
+
+    def give_back(self, session: aiohttp.ClientSession) -> None:
+        """Keep a connection that delivered a whole answer."""
+        self.used.discard(session)
+        self.idle.append(session)
+
+    async def discard(self, session: aiohttp.ClientSession) -> None:
+        """Close a connection that must not be used again."""
+        self.used.discard(session)
+        await session.close()
+
+    async def discard_idle(self) -> None:
+        """Close all idle connections."""
+        while self.idle:
+            await self.idle.pop().close()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.discard_idle()
+        for session in list(self.used):
+            await self.discard(session)
+
+    def _open(self) -> aiohttp.ClientSession:
+        connector = aiohttp.TCPConnector(
+            limit=1, keepalive_timeout=self.keepalive_s
+        )
+        # The caller bounds the whole call; only connecting is bounded here.
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=self.connect_timeout_s
+        )
+        return aiohttp.ClientSession(
+            connector=connector,
+            timeout=timeout,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
--- /dev/null
+++ b/src/limpetlanding/agent/coordinator.py
@@ -0,0 +1,306 @@
+"""Decides on every id that this agent answers for."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from limpetlanding.agent.jobrun import JobPorts, JobRun, Peer
+from limpetlanding.agent.options import CoordinatorOptions
+from limpetlanding.agent.records import JobRecord, Ledger
+from limpetlanding.errors import LimpetlandingError
+from limpetlanding.jobs import (
+    InvalidJobId,
+    JobId,
+    Outcome,
+    Reason,
+    mint_job_id,
+    parse_job_id,
+    verify_job_id,
+)
+from limpetlanding.wire import (
+    AllocateIds,
+    CancelJob,
+    IdBlock,
+    JobAnswer,
+    LocateCoordinator,
+    Located,
+    MoveTasks,
+    QueryJob,
+    RefuseJob,
+    SubmitJob,
+    TaskReports,
+)
+
+JobMessage = SubmitJob | RefuseJob | QueryJob | CancelJob
+
+
+@dataclass(slots=True)
+class _Owned:
+    """A ledger that this agent answers for, and the id being decided on."""
+
+    ledger: Ledger
+    job_id: JobId
+
+
+@dataclass(slots=True)
+class Coordinator:
+    """Single decision point for the ids of its incarnations.
+
+    All decisions on an id are made without suspending between the look-up
+    and the write of the record, so two requests for one id cannot both be
+    first.
+
+    Parameters
+    ----------
+    ledger : Ledger
+        Ledger of this agent's own incarnation.
+    ports : JobPorts
+        How jobs reach executors and entries.
+    """
+
+    ledger: Ledger
+    ports: JobPorts
+    options: CoordinatorOptions = field(default_factory=CoordinatorOptions)
+    ledgers: dict[str, Ledger] = field(init=False)
+    runs: dict[str, JobRun] = field(default_factory=dict)
+    ends: dict[str, asyncio.Future[None]] = field(default_factory=dict)
+    moved: dict[str, asyncio.Future[Peer | None]] = field(default_factory=dict)
+    draining: bool = False
+    on_closed: Callable[[Ledger, JobRecord], None] = lambda *_: None
+
+    def __post_init__(self) -> None:
+        self.ledgers = {self.ledger.incarnation: self.ledger}
+
+    @property
+    def active(self) -> int:
+        """Number of running jobs."""
+        return len(self.runs)
+
+    def allocate(self, message: AllocateIds) -> IdBlock:
+        """Issue ids; an agent that is stopping issues none."""
+        ledger = self.ledger
+        count = min(max(message.count, 0), self.options.max_block)
+        if self.draining:
+            count = 0
+        return IdBlock(
+            ledger.incarnation, ledger.issue(count), count, ledger.secret
+        )
+
+    def locate(self, message: LocateCoordinator) -> Located:
+        """Tell whether this agent answers for an incarnation."""
+        known = message.incarnation in self.ledgers
+        gone = message.incarnation in self.moved
+        return Located(message.incarnation, known and not gone)
+
+    async def submit(
+        self, message: SubmitJob, entry: Peer | None = None
+    ) -> JobAnswer:
+        """Run the job, join it, or repeat its refusal."""
+        owned = await self._own(message)
+        if isinstance(owned, JobAnswer):
+            return owned
+        record = owned.ledger.find(owned.job_id.sequence)
+        if record is None and not _is_well_formed(message):
+            return _no_outcome(message, Reason.MALFORMED)
+        if record is None:
+            self._open(owned, message, entry)
+        elif record.body_digest and record.body_digest != message.body_digest:
+            return _no_outcome(message, Reason.CONFLICT)
+        return await self._answer(owned, message.job_id, message.wait_ms)
+
+    async def refuse(self, message: RefuseJob) -> JobAnswer:
+        """Record a refusal, or return what is known of the job."""
+        owned = await self._own(message)
+        if isinstance(owned, JobAnswer):
+            return owned
+        if owned.ledger.find(owned.job_id.sequence) is None:
+            self._refuse(owned, message, message.reason, message.retry_after_ms)
+        return await self._answer(owned, message.job_id, 0)
+
+    async def query(self, message: QueryJob) -> JobAnswer:
+        """Return what is known of the job, after up to ``wait_ms``."""
+        owned = await self._own(message)
+        if isinstance(owned, JobAnswer):
+            return owned
+        if owned.ledger.find(owned.job_id.sequence) is None:
+            answer = _no_outcome(message, '')
+            answer.detail = 'no job was submitted under this id'
+            return answer
+        return await self._answer(owned, message.job_id, message.wait_ms)
+
+    async def cancel(self, message: CancelJob) -> JobAnswer:
+        """Stop what has not started; an unused id can no longer be used."""
+        owned = await self._own(message)
+        if isinstance(owned, JobAnswer):
+            return owned
+        run = self.runs.get(message.job_id)
+        if run is not None:
+            await run.cancel()
+        elif owned.ledger.find(owned.job_id.sequence) is None:
+            self._refuse(owned, message, Reason.CANCELLED)
+        return await self._answer(owned, message.job_id, 0)
+
+    async def move(self, message: MoveTasks) -> None:
+        """Move tasks that have not started."""
+        run = self.runs.get(message.job_id)
+        if run is not None:
+            await run.move(message.placements)
+
+    def on_reports(self, incarnation: str, message: TaskReports) -> None:
+        """Apply an early report of the executor `incarnation`."""
+        run = self.runs.get(message.job_id)
+        if run is not None:
+            run.on_reports(incarnation, message.reports)
+
+    def sweep(self) -> None:
+        """Drop records that are past their retention."""
+        now = self.ports.clock()
+        for ledger in self.ledgers.values():
+            ledger.sweep(now, self.options.limits)
+
+    def end_origin(self, incarnation: str) -> None:
+        """Answer the jobs that a lost agent had not ended when it left."""
+        for ledger in self.ledgers.values():
+            lost = [x for x in ledger.active.values() if x.origin]
+            for record in lost:
+                if record.origin == incarnation:
+                    self.close(ledger, record, _lost_answer(ledger, record))
+
+    def close(
+        self, ledger: Ledger, record: JobRecord, answer: JobAnswer
+    ) -> None:
+        """Store the final answer and wake those who wait for it."""
+        ledger.close(record, answer, self.ports.clock())
+        self.wake(answer.job_id)
+        self.on_closed(ledger, record)
+
+    def wake(self, job_id: str) -> None:
+        """Wake those who wait for a job that has ended."""
+        end = self.ends.pop(job_id, None)
+        if end is not None and not end.done():
+            end.set_result(None)
+
+    async def _own(self, message: JobMessage) -> _Owned | JobAnswer:
+        try:
+            job_id = parse_job_id(message.job_id)
+        except InvalidJobId:
+            return _no_outcome(message, Reason.MALFORMED)
+        ledger = self.ledgers.get(job_id.incarnation)
+        if ledger is None:
+            return _unknown(message, Reason.COORDINATOR_LOST)
+        if not verify_job_id(job_id, message.customer, ledger.secret):
+            return _no_outcome(message, Reason.UNAUTHORIZED)
+        if job_id.sequence >= ledger.next_sequence:
+            return _no_outcome(message, Reason.MALFORMED)
+        while ledger.find(job_id.sequence) is None:
+            moved = self.moved.get(job_id.incarnation)
+            if moved is None:
+                break
+            # The future is shared by all requests that wait for it.
+            peer = await asyncio.shield(moved)
+            # It is gone if the handover failed and this agent goes on.
+            if self.moved.get(job_id.incarnation) is moved:
+                return await self._forward(message, peer)
+        if job_id.sequence in ledger.expired:
+            return _unknown(message, Reason.EXPIRED)
+        return _Owned(ledger, job_id)
+
+    async def _forward(
+        self, message: JobMessage, peer: Peer | None
+    ) -> JobAnswer:
+        if peer is None:
+            return _unknown(message, Reason.COORDINATOR_LOST)
+        wait_s = getattr(message, 'wait_ms', 0) / 1000
+        try:
+            return await peer.request(
+                message, wait_s + self.options.answer_grace_s
+            )
+        except LimpetlandingError as error:
+            answer = _unknown(message, Reason.COORDINATOR_LOST)
+            return replace(answer, step=error.step, peer=error.peer)
+
+    def _open(
+        self, owned: _Owned, message: SubmitJob, entry: Peer | None
+    ) -> None:
+        if self.active >= self.options.max_active:
+            self._refuse(owned, message, Reason.OVERLOAD)
+            return
+        record = JobRecord(
+            owned.job_id.sequence,
+            message.customer,
+            message.body_digest,
+            len(message.tasks),
+        )
+        owned.ledger.open(record)
+
+        def on_end(answer: JobAnswer) -> None:
+            self.runs.pop(message.job_id, None)
+            self.close(owned.ledger, record, answer)
+
+        run = JobRun(message, entry, self.ports, self.options, on_end)
+        self.runs[message.job_id] = run
+        run.start()
+
+    def _refuse(
+        self,
+        owned: _Owned,
+        message: JobMessage,
+        reason: str,
+        retry_after_ms: float = 0,
+    ) -> None:
+        tasks = getattr(message, 'tasks', ())
+        digest = getattr(message, 'body_digest', '')
+        record = JobRecord(
+            owned.job_id.sequence, message.customer, digest, len(tasks)
+        )
+        answer = JobAnswer(
+            message.job_id,
+            Outcome.NOT_RUN,
+            reason,
+            task_count=len(tasks),
+            step='coordinate',
+            retry_after_ms=retry_after_ms,
+        )
+        self.close(owned.ledger, record, answer)
+
+    async def _answer(
+        self, owned: _Owned, job_id: str, wait_ms: float
+    ) -> JobAnswer:
+        record = owned.ledger.find(owned.job_id.sequence)
+        if record.answer is None and wait_ms > 0:
+            end = self.ends.setdefault(
+                job_id, asyncio.get_running_loop().create_future()
+            )
+            await asyncio.wait([end], timeout=wait_ms / 1000)
+        if record.answer is None:
+            return JobAnswer(job_id, '', task_count=record.task_count)
+        return record.answer
+
+
+def _lost_answer(ledger: Ledger, record: JobRecord) -> JobAnswer:
+    job_id = mint_job_id(
+        ledger.incarnation, record.sequence, record.customer, ledger.secret
+    )
+    return JobAnswer(
+        str(job_id),
+        Outcome.MAY_HAVE_RUN,
+        Reason.COORDINATOR_LOST,
+        task_count=record.task_count,
+        step='coordinate',
+    )
+
+
+def _unknown(message: JobMessage, reason: str) -> JobAnswer:
+    return JobAnswer(
+        message.job_id, Outcome.MAY_HAVE_RUN, reason, step='coordinate'
+    )
+
+
+def _no_outcome(message: JobMessage, reason: str) -> JobAnswer:
+    """Return an answer that leaves the state of the id unchanged."""
+    return JobAnswer(message.job_id, '', reason, step='coordinate')
+
+
+def _is_well_formed(message: SubmitJob) -> bool:
+    indices = [spec.index for spec in message.tasks]
+    return bool(indices) and indices == list(range(len(indices)))
--- /dev/null
+++ b/src/limpetlanding/agent/endpoints.py
@@ -0,0 +1,242 @@
+"""Endpoints that announced themselves to this agent, under leases."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from limpetlanding.agent.connections import Connections
+from limpetlanding.agent.options import EndpointOptions
+from limpetlanding.wire import EndpointLoad
+
+
+class Speed(Protocol):
+    """Learned speed of an endpoint."""
+
+    speed: float
+
+    def observe(self, expected_ms: float, run_ms: float) -> None:
+        """Learn from one run."""
+
+
+@dataclass(slots=True)
+class AverageSpeed:
+    """Exponentially weighted mean of expected by actual run time."""
+
+    speed: float = 1.0
+    weight: float = 0.05
+
+    def observe(self, expected_ms: float, run_ms: float) -> None:
+        """Learn from one run."""
+        if expected_ms > 0 and run_ms > 0:
+            self.speed += self.weight * (expected_ms / run_ms - self.speed)
+
+
+@dataclass(slots=True)
+class Announcement:
+    """What an endpoint announces; `max_size` of 0 means unlimited."""
+
+    endpoint_id: str
+    incarnation: str
+    address: str
+    kinds: tuple[str, ...]
+    slots: int
+    connections: int
+    repeat_by_id: bool = False
+    leaving: bool = False
+    max_size: int = 0
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """One incarnation of an endpoint.
+
+    `suspect` is set when a connection was refused and cleared by the next
+    announcement. `superseded` is done once another incarnation answers at
+    the same address, which proves that this one is gone.
+    """
+
+    announced: Announcement
+    lease_until: float
+    announced_at: float
+    connections: Connections
+    speed: Speed
+    superseded: asyncio.Future[None]
+    busy: int = 0
+    suspect: bool = False
+    current: bool = True
+
+    @property
+    def slots(self) -> int:
+        """Calls that may run at the same time."""
+        return min(self.announced.slots, self.announced.connections)
+
+    def serves(self, now: float) -> bool:
+        """Whether the endpoint may get new tasks."""
+        alive = self.current and not self.announced.leaving
+        return alive and now < self.lease_until
+
+    def offers(self, kind: str, size: int) -> bool:
+        """Whether the endpoint takes tasks of this kind and size."""
+        max_size = self.announced.max_size
+        return kind in self.announced.kinds and not 0 < max_size < size
+
+    def is_free(self, now: float) -> bool:
+        """Whether a task can be started now."""
+        free = self.busy < self.slots and not self.suspect
+        return free and self.serves(now)
+
+
+@dataclass(slots=True)
+class Endpoints:
+    """All endpoints of this agent.
+
+    Parameters
+    ----------
+    clock : callable
+        Monotonic seconds. Leases are compared with it whenever an endpoint
+        is chosen, so an agent that was paused past a lease starts nothing
+        there.
+    on_change : callable
+        Called when an endpoint appeared, left or lost its lease.
+    """
+
+    clock: Callable[[], float]
+    options: EndpointOptions = field(default_factory=EndpointOptions)
+    make_speed: Callable[[], Speed] = AverageSpeed
+    on_change: Callable[[], None] = lambda: None
+    by_id: dict[str, Endpoint] = field(default_factory=dict)
+    replaced: dict[tuple[str, str], float] = field(default_factory=dict)
+    known_kinds: set[str] = field(default_factory=set)
+    counters: Counter[str] = field(default_factory=Counter)
+
+    def announce(self, announcement: Announcement) -> float:
+        """Take an announcement and return the lease in seconds.
+
+        An announcement of a replaced incarnation that arrives late is
+        ignored, and an incarnation that said it is leaving stays leaving.
+        """
+        identity = (announcement.endpoint_id, announcement.incarnation)
+        if identity in self.replaced:
+            self.counters['announcements_of_replaced'] += 1
+            return self.options.lease_s
+        now = self.clock()
+        known = self.by_id.get(announcement.endpoint_id)
+        if known is None:
+            self._add(announcement, now)
+        elif known.announced.incarnation == announcement.incarnation:
+            announcement.leaving |= known.announced.leaving
+            known.announced = announcement
+            known.connections.limit = announcement.connections
+            known.lease_until = now + self.options.lease_s
+            known.announced_at = now
+            known.suspect = False
+        else:
+            self._replace(known, announcement)
+            self._add(announcement, now)
+        self.on_change()
+        return self.options.lease_s
+
+    def expire(self) -> None:
+        """Forget endpoints long after their lease."""
+        now = self.clock()
+        for endpoint in list(self.by_id.values()):
+            idle = endpoint.busy == 0 and not endpoint.serves(now)
+            if idle and now > endpoint.lease_until + self.options.lease_s:
+                del self.by_id[endpoint.announced.endpoint_id]
+        # Announcements do not arrive this late.
+        old = [x for x, at in self.replaced.items() if now > at + 60]
+        for identity in old:
+            del self.replaced[identity]
+
+    def serving(self) -> Iterator[Endpoint]:
+        """Yield the endpoints that may get new tasks."""
+        now = self.clock()
+        return (x for x in self.by_id.values() if x.serves(now))
+
+    def free_kinds(self) -> set[str]:
+        """Return the kinds for which a task can be started now."""
+        now = self.clock()
+        return {
+            kind
+            for endpoint in self.by_id.values()
+            if endpoint.is_free(now)
+            for kind in endpoint.announced.kinds
+        }
+
+    def pick(self, kind: str, size: int) -> Endpoint | None:
+        """Return the free endpoint with the smallest share of busy slots."""
+        now = self.clock()
+        free = [
+            endpoint
+            for endpoint in self.by_id.values()
+            if endpoint.is_free(now) and endpoint.offers(kind, size)
+        ]
+        return min(free, key=lambda x: x.busy / x.slots, default=None)
+
+    def takes(self, kind: str, size: int) -> bool:
+        """Whether some endpoint that is up takes such tasks."""
+        return any(
+            x.offers(kind, size) for x in self.serving() if not x.suspect
+        )
+
+    def serves_kind(self, kind: str) -> bool:
+        """Whether some endpoint under a lease has this kind."""
+        return any(kind in x.announced.kinds for x in self.serving())
+
+    @property
+    def slots(self) -> int:
+        """Slots of all endpoints that may get new tasks."""
+        return sum(endpoint.slots for endpoint in self.serving())
+
+    @property
+    def speed(self) -> float:
+        """Mean speed of the slots; 1.0 if there are none."""
+        work = sum(x.speed.speed * x.slots for x in self.serving())
+        return work / self.slots if self.slots else 1.0
+
+    def loads(self) -> list[EndpointLoad]:
+        """Return the load of each endpoint for `LoadReport`."""
+        now = self.clock()
+        return [
+            EndpointLoad(
+                x.announced.endpoint_id,
+                list(x.announced.kinds),
+                x.slots,
+                x.busy,
+                round(x.speed.speed, 3),
+                x.serves(now) and not x.suspect,
+                x.announced.max_size,
+            )
+            for x in self.by_id.values()
+        ]
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for endpoint in self.by_id.values():
+            await endpoint.connections.close()
+
+    def _add(self, announcement: Announcement, now: float) -> None:
+        self.known_kinds.update(announcement.kinds)
+        self.by_id[announcement.endpoint_id] = Endpoint(
+            announcement,
+            now + self.options.lease_s,
+            now,
+            Connections(
+                announcement.connections,
+                self.options.connect_timeout_s,
+                self.options.keepalive_s,
+            ),
+            self.make_speed(),
+            asyncio.get_running_loop().create_future(),
+        )
+
+    def _replace(self, known: Endpoint, announcement: Announcement) -> None:
+        known.current = False
+        old = known.announced
+        self.replaced[old.endpoint_id, old.incarnation] = self.clock()
+        # A successor at another address may run beside one that is still
+        # finishing its calls; at the same address the old one is gone.
+        if old.address == announcement.address:
+            known.superseded.set_result(None)
--- /dev/null
+++ b/src/limpetlanding/agent/executor.py
@@ -0,0 +1,364 @@
+"""Queues tasks and calls the endpoints of this agent."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Container, Hashable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from limpetlanding.agent.calls import Call, Caller
+from limpetlanding.agent.endpoints import Endpoint, Endpoints
+from limpetlanding.agent.markers import Markers, TaskKey
+from limpetlanding.agent.options import ExecutorOptions
+from limpetlanding.errors import PeerLost
+from limpetlanding.jobs import Reason, TaskState
+from limpetlanding.policy.queueing import QueuedTask
+from limpetlanding.wire import (
+    LoadReport,
+    Revoked,
+    RevokeTasks,
+    RunTasks,
+    TaskReport,
+    TaskReports,
+)
+
+Notify = Callable[[TaskReports], None]
+
+_REPLY_BYTES = 3 * 1024 * 1024
+
+
+class Queue(Protocol):
+    """Queue of the executor; see ``policy.queueing``."""
+
+    queued_short_ms: float
+    queued_long_ms: float
+    long_busy: int
+
+    def __len__(self) -> int: ...
+
+    def push(self, task: QueuedTask, now: float) -> None:
+        """Queue a task."""
+
+    def pop(
+        self, now: float, kinds: Container[str] | None = None
+    ) -> QueuedTask | None:
+        """Take the next task to start."""
+
+    def remove(self, key: Hashable) -> QueuedTask | None:
+        """Take a queued task out."""
+
+    def finished(self, key: Hashable) -> None:
+        """Count a popped task as no longer running."""
+
+    def resize(self, slots: int, speed: float) -> None:
+        """Set the number of slots and their mean speed."""
+
+
+@dataclass(slots=True)
+class _Waiting:
+    """A `RunTasks` request that has not been answered yet."""
+
+    remaining: set[int]
+    notify: Notify
+    ended: asyncio.Future[None]
+
+
+@dataclass(slots=True)
+class _Queued:
+    """A queued task with its deadline timer."""
+
+    message: RunTasks
+    queued: QueuedTask
+    queued_at: float
+    timer: asyncio.TimerHandle
+
+
+@dataclass(slots=True)
+class Executor:
+    """The only one that starts tasks at the endpoints of this agent.
+
+    Every task is marked before anything else happens to it, and a marked
+    task is never queued again. A revocation marks too, so one that overtakes
+    its `RunTasks` holds.
+    """
+
+    incarnation: str
+    endpoints: Endpoints
+    caller: Caller
+    queue: Queue
+    clock: Callable[[], float]
+    options: ExecutorOptions = field(default_factory=ExecutorOptions)
+    on_load: Callable[[], None] = lambda: None
+    markers: Markers = field(init=False)
+    waiting: dict[str, list[_Waiting]] = field(default_factory=dict)
+    queued: dict[TaskKey, _Queued] = field(default_factory=dict)
+    running: set[asyncio.Task[None]] = field(default_factory=set)
+    counters: Counter[str] = field(default_factory=Counter)
+    draining: bool = False
+
+    def __post_init__(self) -> None:
+        self.markers = Markers(self.options)
+
+    @property
+    def idle(self) -> bool:
+        """Whether no task is queued or running."""
+        return not self.queued and not self.running
+
+    async def run(self, message: RunTasks, notify: Notify) -> TaskReports:
+        """Queue the tasks not seen before; return when all have ended.
+
+        Parameters
+        ----------
+        notify : callable
+            Receives early reports of failed tasks.
+
+        Raises
+        ------
+        PeerLost
+            If the message is for another incarnation; nothing is known of
+            its tasks here.
+        """
+        self._check_target(message.target_incarnation, 'run')
+        for spec in message.tasks:
+            key = (message.job_id, spec.index)
+            if self.markers.see(key):
+                self.counters['tasks_received'] += 1
+                self._accept(message, key, spec)
+        indices = [spec.index for spec in message.tasks]
+        remaining = {
+            index
+            for index in indices
+            if self.markers.report((message.job_id, index)) is None
+        }
+        if remaining:
+            await self._wait(message.job_id, remaining, notify)
+        return TaskReports(
+            message.job_id,
+            _bounded(
+                [
+                    self._final_report((message.job_id, index))
+                    for index in indices
+                ]
+            ),
+        )
+
+    def revoke(self, message: RevokeTasks) -> Revoked:
+        """Confirm the tasks that have not started and never will."""
+        self._check_target(message.target_incarnation, 'revoke')
+        confirmed = []
+        for index in message.indices:
+            key = (message.job_id, index)
+            if self.markers.see(key) or key in self.queued:
+                self._end_unstarted(key, Reason.CANCELLED)
+            report = self.markers.report(key)
+            if report and report.state == TaskState.NOT_STARTED:
+                confirmed.append(index)
+        self.on_load()
+        return Revoked(message.job_id, confirmed)
+
+    def pump(self) -> None:
+        """Start queued tasks while an endpoint has a free slot."""
+        self.queue.resize(self.endpoints.slots, self.endpoints.speed)
+        too_big = []
+        while len(self.queue):
+            now = self.clock()
+            kinds = self.endpoints.free_kinds()
+            task = self.queue.pop(now, kinds) if kinds else None
+            if task is None:
+                break
+            queued = self.queued[task.key]
+            spec = queued.queued.item
+            endpoint = self.endpoints.pick(spec.kind, spec.size)
+            if task.deadline <= now:
+                self.queue.finished(task.key)
+                self._end_unstarted(task.key, Reason.DEADLINE)
+            elif endpoint is None:
+                self.queue.finished(task.key)
+                too_big.append(task)
+            else:
+                self._start(task.key, endpoint)
+        for task in too_big:
+            self.queue.push(task, self.clock())
+        self.on_load()
+
+    def endpoints_changed(self) -> None:
+        """Return queued tasks that no endpoint can take, start others."""
+        for key, queued in list(self.queued.items()):
+            spec = queued.queued.item
+            if not self.endpoints.serves_kind(spec.kind):
+                self._end_unstarted(key, Reason.ENDPOINT_AWAY)
+        self.pump()
+
+    def drain(self) -> None:
+        """Accept no further tasks; queued and running ones are finished."""
+        self.draining = True
+
+    def give_up_queue(self) -> None:
+        """Return all queued tasks as not started."""
+        for key in list(self.queued):
+            self._end_unstarted(key, Reason.STOPPING)
+
+    def tick(self) -> None:
+        """Do the periodic work."""
+        self.markers.tick(self.clock())
+        self.endpoints.expire()
+        self.endpoints_changed()
+
+    def load(self) -> LoadReport:
+        """Return the load for the entries."""
+        return LoadReport(
+            self.endpoints.loads(),
+            round(self.queue.queued_short_ms, 1),
+            round(self.queue.queued_long_ms, 1),
+            len(self.queue),
+            self.queue.long_busy,
+            self.counters['tasks_received'],
+            self.draining,
+        )
+
+    def _check_target(self, target: str, step: str) -> None:
+        if target != self.incarnation:
+            self.counters['messages_for_other_incarnations'] += 1
+            raise PeerLost(f'incarnation {target} does not run here', step=step)
+
+    def _accept(self, message: RunTasks, key: TaskKey, spec: Any) -> None:
+        reason = self._refusal(message, spec)
+        if reason:
+            self._end(key, TaskReport(key[1], TaskState.NOT_STARTED, reason))
+            return
+        now = self.clock()
+        left_s = message.deadline_ms / 1000
+        task = QueuedTask(
+            key,
+            message.customer,
+            spec.kind,
+            spec.expected_ms,
+            now + left_s,
+            message.weight,
+            spec,
+        )
+        timer = asyncio.get_running_loop().call_later(
+            left_s, self._end_unstarted, key, Reason.DEADLINE
+        )
+        self.queued[key] = _Queued(message, task, now, timer)
+        self.queue.push(task, now)
+        self.pump()
+
+    def _refusal(self, message: RunTasks, spec: Any) -> str:
+        if self.draining:
+            return Reason.STOPPING
+        if message.deadline_ms <= 0:
+            return Reason.DEADLINE
+        if not self.endpoints.serves_kind(spec.kind):
+            known = spec.kind in self.endpoints.known_kinds
+            return Reason.ENDPOINT_AWAY if known else Reason.NO_ENDPOINT
+        if not self.endpoints.takes(spec.kind, spec.size):
+            return Reason.TOO_LARGE if spec.size else Reason.ENDPOINT_AWAY
+        return ''
+
+    async def _wait(
+        self, job_id: str, remaining: set[int], notify: Notify
+    ) -> None:
+        ended = asyncio.get_running_loop().create_future()
+        waiting = _Waiting(remaining, notify, ended)
+        self.waiting.setdefault(job_id, []).append(waiting)
+        try:
+            await ended
+        finally:
+            self.waiting[job_id].remove(waiting)
+            if not self.waiting[job_id]:
+                del self.waiting[job_id]
+
+    def _final_report(self, key: TaskKey) -> TaskReport:
+        report = self.markers.report(key)
+        if report is None:
+            return TaskReport(key[1], TaskState.UNKNOWN, Reason.EXPIRED)
+        return report
+
+    def _start(self, key: TaskKey, endpoint: Endpoint) -> None:
+        queued = self.queued.pop(key)
+        queued.timer.cancel()
+        endpoint.busy += 1
+        task = asyncio.create_task(self._call(key, queued, endpoint))
+        self.running.add(task)
+        task.add_done_callback(self.running.discard)
+
+    async def _call(
+        self, key: TaskKey, queued: _Queued, endpoint: Endpoint
+    ) -> None:
+        spec = queued.queued.item
+        call = Call(
+            key[0],
+            spec,
+            queued.queued.deadline,
+            (self.clock() - queued.queued_at) * 1000,
+            queued.message.traceparent,
+        )
+        report = TaskReport(key[1], TaskState.UNKNOWN, Reason.AGENT_LOST)
+        try:
+            report = await self.caller.call(endpoint, call)
+        finally:
+            endpoint.busy -= 1
+            self.queue.finished(key)
+            if self._can_requeue(report, spec):
+                self._requeue(key, queued)
+            else:
+                self._end(key, report)
+            self.pump()
+
+    def _can_requeue(self, report: TaskReport, spec: Any) -> bool:
+        # The connection was refused; another endpoint here may take it.
+        refused = report.state == TaskState.NOT_STARTED
+        return refused and self.endpoints.takes(spec.kind, spec.size)
+
+    def _requeue(self, key: TaskKey, queued: _Queued) -> None:
+        left_s = queued.queued.deadline - self.clock()
+        queued.timer = asyncio.get_running_loop().call_later(
+            max(0, left_s), self._end_unstarted, key, Reason.DEADLINE
+        )
+        self.queued[key] = queued
+        self.queue.push(queued.queued, self.clock())
+
+    def _end_unstarted(self, key: TaskKey, reason: str) -> None:
+        queued = self.queued.pop(key, None)
+        if queued is not None:
+            queued.timer.cancel()
+            self.queue.remove(key)
+        self._end(key, TaskReport(key[1], TaskState.NOT_STARTED, reason))
+
+    def _end(self, key: TaskKey, report: TaskReport) -> None:
+        self.markers.end(key, report)
+        job_id, index = key
+        for waiting in self.waiting.get(job_id, ()):
+            if index not in waiting.remaining:
+                continue
+            waiting.remaining.discard(index)
+            if not waiting.remaining:
+                if not waiting.ended.done():
+                    waiting.ended.set_result(None)
+            elif _is_early(report):
+                waiting.notify(TaskReports(job_id, [report]))
+
+
+def _is_early(report: TaskReport) -> bool:
+    # A revocation is confirmed by its own reply.
+    failed = report.state != TaskState.DONE
+    return failed and report.reason != Reason.CANCELLED
+
+
+def _bounded(reports: list[TaskReport]) -> list[TaskReport]:
+    """Replace results beyond the frame limit by errors."""
+    size = 0
+    bounded = []
+    for report in reports:
+        size += len(report.result.payload) if report.result else 0
+        if report.result and size > _REPLY_BYTES:
+            report = TaskReport(
+                report.index,
+                TaskState.ERROR,
+                Reason.TOO_LARGE,
+                detail='the results of the job are too large together',
+                blame='customer',
+            )
+        bounded.append(report)
+    return bounded
--- /dev/null
+++ b/src/limpetlanding/agent/fates.py
@@ -0,0 +1,144 @@
+"""What the coordinator knows of each task of a running job."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from limpetlanding.jobs import Outcome, Reason, TaskState, payloads_digest
+from limpetlanding.wire import (
+    JobAnswer,
+    Placement,
+    TaskReport,
+    TaskResult,
+    TaskSpec,
+)
+
+# Two states besides those that an executor reports: waiting for a placement,
+# and sent to an executor without a final report.
+IDLE = 'idle'
+PLACED = 'placed'
+# The executor did not confirm a revocation, so the task has started.
+STARTED = 'started'
+
+PLACE_AGAIN_REASONS = frozenset(
+    (
+        Reason.NO_ENDPOINT,
+        Reason.ENDPOINT_AWAY,
+        Reason.STOPPING,
+        Reason.TOO_LARGE,
+        Reason.AGENT_LOST,
+        Reason.CANCELLED,
+        Reason.OVERLOAD,
+    )
+)
+
+
+@dataclass(slots=True)
+class Fate:
+    """State of one task at the coordinator.
+
+    `tried` holds the agents' incarnations that the task was placed at; it is
+    never placed twice at the same one, because an executor's answer about a
+    task is final. `move_to` is the next placement while a revocation runs.
+    """
+
+    spec: TaskSpec
+    state: str = IDLE
+    placement: Placement | None = None
+    move_to: Placement | None = None
+    result: TaskResult | None = None
+    tried: set[str] = field(default_factory=set)
+    tried_agents: set[str] = field(default_factory=set)
+
+    def place(self, placement: Placement) -> None:
+        """Note that the task is being sent to an executor."""
+        self.state = PLACED
+        self.placement = placement
+        self.move_to = None
+        self.tried.add(placement.incarnation)
+        self.tried_agents.add(placement.agent)
+
+    def is_at(self, incarnation: str) -> bool:
+        """Tell whether the task is at this executor without final report."""
+        return (
+            self.state == PLACED
+            and self.placement is not None
+            and self.placement.incarnation == incarnation
+        )
+
+
+@dataclass(slots=True)
+class Cause:
+    """Why a job failed."""
+
+    reason: str
+    step: str
+    peer: str = ''
+    detail: str = ''
+
+
+def checked(report: TaskReport) -> TaskReport:
+    """Return the report, or one of state unknown if it contradicts itself.
+
+    Guards the answer against a result that belongs to another task.
+    """
+    if report.state != TaskState.DONE:
+        return report
+    if report.result is not None and report.result.index == report.index:
+        return report
+    return TaskReport(
+        report.index,
+        TaskState.UNKNOWN,
+        Reason.MALFORMED,
+        detail='the result is missing or belongs to another task',
+    )
+
+
+def missing_reports(
+    indices: Iterable[int], reports: Iterable[TaskReport], reason: str
+) -> list[TaskReport]:
+    """Return unknown reports for the indices that have no report."""
+    known = {report.index for report in reports}
+    return [
+        TaskReport(index, TaskState.UNKNOWN, reason)
+        for index in indices
+        if index not in known
+    ]
+
+
+def complete_answer(job_id: str, fates: Iterable[Fate]) -> JobAnswer:
+    """Return the answer of a job whose tasks are all done."""
+    ordered = sorted(fates, key=lambda fate: fate.spec.index)
+    results = [fate.result for fate in ordered if fate.result is not None]
+    return JobAnswer(
+        job_id,
+        Outcome.COMPLETE,
+        task_count=len(results),
+        digest=payloads_digest(result.payload for result in results),
+        results=results,
+    )
+
+
+def failed_answer(
+    job_id: str, fates: Iterable[Fate], cause: Cause
+) -> JobAnswer:
+    """Return the answer of a job that cannot become complete.
+
+    ``not_run`` needs proof for every task; a single unknown fate makes the
+    answer ``may_have_run``.
+    """
+    states = [fate.state for fate in fates]
+    if all(state == TaskState.NOT_STARTED for state in states):
+        outcome = Outcome.NOT_RUN
+    elif TaskState.UNKNOWN in states:
+        outcome = Outcome.MAY_HAVE_RUN
+    else:
+        outcome = Outcome.FAILED
+    return JobAnswer(
+        job_id,
+        outcome,
+        cause.reason,
+        task_count=len(states),
+        step=cause.step,
+        peer=cause.peer,
+        detail=cause.detail,
+    )
--- /dev/null
+++ b/src/limpetlanding/agent/handover.py
@@ -0,0 +1,187 @@
+"""Handing records over at a planned stop, and taking them over.
+
+All records are sent before a last message puts them in force. Until that
+message is sent, the agent may go on or try another successor. Once it is
+sent and not answered, the successor may have decided on ids already, so
+nobody else may: the incarnation then counts as lost.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterator
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+from limpetlanding.agent.coordinator import Coordinator
+from limpetlanding.agent.jobrun import Peer
+from limpetlanding.agent.records import (
+    JobRecord,
+    Ledger,
+    pack_ledger,
+    pack_record,
+    unpack_answer,
+    unpack_into,
+)
+from limpetlanding.errors import LimpetlandingError
+from limpetlanding.wire import Ack, Handover
+
+_CHUNK_BYTES = 1024 * 1024
+_REQUEST_TIMEOUT_S = 5
+
+
+@dataclass(slots=True)
+class Handovers:
+    """Both sides of `Handover` at one agent.
+
+    Parameters
+    ----------
+    on_taken : callable
+        Called with an incarnation that this agent answers for from now on.
+    """
+
+    coordinator: Coordinator
+    on_taken: Callable[[str], None] = lambda incarnation: None
+    staged: dict[str, Ledger] = field(default_factory=dict)
+    updates: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def receive(self, message: Handover) -> Ack:
+        """Take records; the last message puts them in force."""
+        coordinator = self.coordinator
+        active = coordinator.ledgers.get(message.incarnation)
+        if active is not None:
+            self._receive_answers(active, message)
+            return Ack()
+        if coordinator.draining:
+            return Ack(ok=False, detail='the agent is stopping')
+        ledger = self.staged.setdefault(
+            message.incarnation, Ledger(message.incarnation, message.secret)
+        )
+        ledger.next_sequence = max(ledger.next_sequence, message.next_sequence)
+        now = coordinator.ports.clock()
+        for packed in message.records:
+            unpack_into(ledger, packed, now)
+        if message.last:
+            coordinator.ledgers[message.incarnation] = self.staged.pop(
+                message.incarnation
+            )
+            self.on_taken(message.incarnation)
+        return Ack()
+
+    async def hand_over(self, successor: Peer) -> bool:
+        """Hand all ledgers to `successor`.
+
+        Running jobs go on here; their answers follow as they end. Requests
+        for ids without a record wait meanwhile and are then forwarded.
+
+        Returns
+        -------
+        bool
+            False if the successor did not take every ledger; another one
+            may then be tried for the rest.
+        """
+        coordinator = self.coordinator
+        coordinator.draining = True
+        coordinator.on_closed = self._send_answer
+        owned = [
+            ledger
+            for incarnation, ledger in coordinator.ledgers.items()
+            if incarnation not in coordinator.moved
+        ]
+        taken = [await self._hand_over(ledger, successor) for ledger in owned]
+        return all(taken)
+
+    async def finish(self) -> None:
+        """Wait until the answers of ended jobs have been sent on."""
+        while self.updates:
+            await asyncio.gather(*self.updates)
+
+    async def _hand_over(self, ledger: Ledger, successor: Peer) -> bool:
+        coordinator = self.coordinator
+        moved = asyncio.get_running_loop().create_future()
+        coordinator.moved[ledger.incarnation] = moved
+        running = list(ledger.active.values())
+        records = pack_ledger(
+            ledger,
+            coordinator.ledger.incarnation,
+            coordinator.ports.clock(),
+        )
+        try:
+            for chunk in _chunks(list(records)):
+                await _send(ledger, successor, chunk, last=False)
+        except LimpetlandingError:
+            self._reopen(ledger)
+            return False
+        try:
+            await _send(ledger, successor, [], last=True)
+        except _Refused:
+            self._reopen(ledger)
+            return False
+        except LimpetlandingError:
+            moved.set_result(None)
+            return False
+        moved.set_result(successor)
+        # Jobs that ended while the records were on their way.
+        for record in running:
+            if record.answer is not None:
+                self._send_answer(ledger, record)
+        return True
+
+    def _reopen(self, ledger: Ledger) -> None:
+        moved = self.coordinator.moved.pop(ledger.incarnation)
+        moved.set_result(None)
+
+    def _receive_answers(self, ledger: Ledger, message: Handover) -> None:
+        for packed in message.records:
+            answer = unpack_answer(ledger, packed)
+            if answer is not None:
+                sequence = int(answer.job_id.split('.')[1])
+                record = ledger.active[sequence]
+                self.coordinator.close(ledger, record, answer)
+
+    def _send_answer(self, ledger: Ledger, record: JobRecord) -> None:
+        moved = self.coordinator.moved.get(ledger.incarnation)
+        if moved is None or not moved.done() or moved.result() is None:
+            return
+        packed = pack_record(
+            record,
+            self.coordinator.ledger.incarnation,
+            self.coordinator.ports.clock(),
+        )
+        update = asyncio.create_task(
+            _send_update(ledger, moved.result(), packed)
+        )
+        self.updates.add(update)
+        update.add_done_callback(self.updates.discard)
+
+
+class _Refused(LimpetlandingError):
+    """The successor did not apply the message."""
+
+
+async def _send(
+    ledger: Ledger, successor: Peer, records: list[bytes], *, last: bool
+) -> None:
+    message = Handover(
+        ledger.incarnation, ledger.secret, ledger.next_sequence, records, last
+    )
+    reply = await successor.request(message, _REQUEST_TIMEOUT_S)
+    if not reply.ok:
+        raise _Refused(reply.detail, step='handover')
+
+
+async def _send_update(ledger: Ledger, successor: Peer, packed: bytes) -> None:
+    # The successor answers `may_have_run` for the job if this is lost.
+    with suppress(LimpetlandingError):
+        await _send(ledger, successor, [packed], last=True)
+
+
+def _chunks(records: list[bytes]) -> Iterator[list[bytes]]:
+    """Split records into lists of about 1 MiB; a record may be larger."""
+    chunk: list[bytes] = []
+    size = 0
+    for packed in records:
+        if chunk and size + len(packed) > _CHUNK_BYTES:
+            yield chunk
+            chunk, size = [], 0
+        chunk.append(packed)
+        size += len(packed)
+    yield chunk
--- /dev/null
+++ b/src/limpetlanding/agent/intervals.py
@@ -0,0 +1,64 @@
+"""Set of numbers that stays small when most numbers are contiguous."""
+
+from bisect import bisect_right
+from collections.abc import Iterable
+
+
+class IntervalSet:
+    """Numbers stored as closed intervals, with a bound on their count.
+
+    When there are more than `limit` intervals, the lowest gap is closed: its
+    numbers count as members from then on.
+
+    Parameters
+    ----------
+    limit : int
+        Greatest number of intervals.
+
+    Examples
+    --------
+    >>> numbers = IntervalSet()
+    >>> for number in (1, 2, 4, 3, 9):
+    ...     numbers.add(number)
+    >>> numbers.intervals
+    [(1, 4), (9, 9)]
+    >>> 3 in numbers, 5 in numbers
+    (True, False)
+    """
+
+    def __init__(
+        self, intervals: Iterable[tuple[int, int]] = (), limit: int = 50_000
+    ) -> None:
+        self.limit = limit
+        self.firsts: list[int] = []
+        self.lasts: list[int] = []
+        for first, last in intervals:
+            self.firsts.append(first)
+            self.lasts.append(last)
+
+    def __contains__(self, number: int) -> bool:
+        at = bisect_right(self.firsts, number) - 1
+        return at >= 0 and number <= self.lasts[at]
+
+    @property
+    def intervals(self) -> list[tuple[int, int]]:
+        """All intervals as (first, last), ascending."""
+        return list(zip(self.firsts, self.lasts, strict=True))
+
+    def add(self, number: int) -> None:
+        """Add one number."""
+        if number in self:
+            return
+        at = bisect_right(self.firsts, number)
+        self.firsts.insert(at, number)
+        self.lasts.insert(at, number)
+        if at + 1 < len(self.firsts) and self.firsts[at + 1] == number + 1:
+            self._join(at)
+        if at and self.lasts[at - 1] == number - 1:
+            self._join(at - 1)
+        while len(self.firsts) > self.limit:
+            self._join(0)
+
+    def _join(self, at: int) -> None:
+        del self.firsts[at + 1]
+        del self.lasts[at]
--- /dev/null
+++ b/src/limpetlanding/agent/records.py
@@ -0,0 +1,189 @@
+"""Job records of one coordinator incarnation.
+
+A ledger knows for every sequence number whether it is unused, has a record
+or is expired. Expired numbers are kept as intervals, so that an id is never
+treated as new after its record was dropped, and an id that was issued long
+ago but never used stays usable.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+import msgpack
+
+from limpetlanding.agent.intervals import IntervalSet
+from limpetlanding.wire import JobAnswer, TaskResult
+
+_RECORD_BYTES = 200
+_RESULT_BYTES = 200
+
+
+@dataclass(slots=True)
+class JobRecord:
+    """What the coordinator knows of one id.
+
+    Parameters
+    ----------
+    body_digest : str
+        Digest of the submission; empty for a refusal made before any
+        submission arrived.
+    answer : JobAnswer or None
+        The final answer; None while the job runs.
+    origin : str
+        Incarnation of the agent that still runs the job, for a record that
+        was handed over before the job ended; empty otherwise.
+    """
+
+    sequence: int
+    customer: str
+    body_digest: str
+    task_count: int
+    answer: JobAnswer | None = None
+    ended_at: float = 0
+    origin: str = ''
+    size: int = _RECORD_BYTES
+
+
+@dataclass(slots=True)
+class RecordLimits:
+    """Bounds of the ended records of one ledger."""
+
+    retention_s: float = 120
+    max_records: int = 200_000
+    max_bytes: int = 64 * 1024 * 1024
+
+
+@dataclass(slots=True)
+class Ledger:
+    """Records and issued sequence numbers of one incarnation.
+
+    `active` holds running jobs, `ended` holds final answers in the order in
+    which the jobs ended.
+    """
+
+    incarnation: str
+    secret: bytes
+    next_sequence: int = 1
+    active: dict[int, JobRecord] = field(default_factory=dict)
+    ended: OrderedDict[int, JobRecord] = field(default_factory=OrderedDict)
+    expired: IntervalSet = field(default_factory=IntervalSet)
+    bytes_held: int = 0
+
+    def issue(self, count: int) -> int:
+        """Issue a block of sequence numbers and return the first."""
+        first = self.next_sequence
+        self.next_sequence += count
+        return first
+
+    def find(self, sequence: int) -> JobRecord | None:
+        """Return the record of a sequence number, if there is one."""
+        return self.active.get(sequence) or self.ended.get(sequence)
+
+    def open(self, record: JobRecord) -> None:
+        """Add the record of a running job."""
+        self.active[record.sequence] = record
+
+    def close(self, record: JobRecord, answer: JobAnswer, now: float) -> None:
+        """Store the final answer of a job; the first answer stays."""
+        if record.sequence in self.ended:
+            return
+        self.active.pop(record.sequence, None)
+        record.answer = answer
+        record.ended_at = now
+        record.origin = ''
+        record.size = _RECORD_BYTES + sum(
+            len(x.payload) + _RESULT_BYTES for x in answer.results
+        )
+        self.ended[record.sequence] = record
+        self.bytes_held += record.size
+
+    def sweep(self, now: float, limits: RecordLimits) -> int:
+        """Drop ended records that are too old or exceed the bounds.
+
+        Returns the number of dropped records.
+        """
+        dropped = 0
+        while self.ended:
+            oldest = next(iter(self.ended.values()))
+            fits = (
+                len(self.ended) <= limits.max_records
+                and self.bytes_held <= limits.max_bytes
+            )
+            if fits and oldest.ended_at + limits.retention_s > now:
+                break
+            del self.ended[oldest.sequence]
+            self.bytes_held -= oldest.size
+            self.expired.add(oldest.sequence)
+            dropped += 1
+        return dropped
+
+
+def pack_ledger(ledger: Ledger, origin: str, now: float) -> Iterator[bytes]:
+    """Yield the content of a ledger as records of `Handover`.
+
+    `origin` is the incarnation of the agent that runs the active jobs.
+
+    The first record holds the expired numbers; the other ones hold one job
+    each, oldest first.
+    """
+    yield msgpack.packb(['expired', ledger.expired.intervals])
+    for record in (*ledger.ended.values(), *ledger.active.values()):
+        yield pack_record(record, origin, now)
+
+
+def pack_record(record: JobRecord, origin: str, now: float) -> bytes:
+    """Return one job as a record of `Handover`."""
+    answer = asdict(record.answer) if record.answer else None
+    age_s = now - record.ended_at if record.answer else 0
+    return msgpack.packb(
+        [
+            'job',
+            {
+                'sequence': record.sequence,
+                'customer': record.customer,
+                'body_digest': record.body_digest,
+                'task_count': record.task_count,
+                'origin': '' if record.answer else record.origin or origin,
+            },
+            answer,
+            age_s,
+        ]
+    )
+
+
+def unpack_into(ledger: Ledger, packed: bytes, now: float) -> None:
+    """Add one record of `Handover` to a ledger that is not in use yet."""
+    tag, *content = msgpack.unpackb(packed)
+    if tag == 'expired':
+        ledger.expired = IntervalSet(content[0])
+        return
+    fields, answer, age_s = content
+    record = ledger.find(fields['sequence'])
+    if record is None:
+        record = JobRecord(**fields)
+        ledger.open(record)
+    if answer is not None:
+        ledger.close(record, _to_answer(answer), now - age_s)
+
+
+def unpack_answer(ledger: Ledger, packed: bytes) -> JobAnswer | None:
+    """Return the answer in `packed` if the ledger waits for it.
+
+    A ledger in use takes nothing else from `Handover`: a repeated message
+    must not bring back what the ledger has dropped or decided since.
+    """
+    tag, *content = msgpack.unpackb(packed)
+    if tag != 'job':
+        return None
+    fields, answer, _ = content
+    record = ledger.active.get(fields['sequence'])
+    if record is None or not record.origin or answer is None:
+        return None
+    return _to_answer(answer)
+
+
+def _to_answer(fields: dict[str, Any]) -> JobAnswer:
+    results = [TaskResult(**x) for x in fields.pop('results')]
+    return JobAnswer(**fields, results=results)
