Add the entry's path from HTTP submission to the coordinator and back

Callers had no way to reach a coordinator. The API parses bounded bodies, authenticates by the hash of the key, mints ids from blocks of agents, admits and places through package policy and forwards to the coordinator named in the id. orjson (already in the lock) embeds results without parsing them again, so that their digest stays valid.

--- /dev/null
+++ b/src/limpetlanding/entry/admission.py
@@ -0,0 +1,259 @@
+"""Admission of submissions: from contracts to the decisions of policy."""
+
+from collections.abc import Callable, Collection, Mapping, Sequence
+from dataclasses import dataclass, field
+from random import Random
+
+from limpetlanding.entry.api import Submission
+from limpetlanding.entry.auth import Contract
+from limpetlanding.entry.view import LoadView
+from limpetlanding.jobs import Outcome, Reason
+from limpetlanding.policy import (
+    Admission,
+    AdmissionRequest,
+    AgentLoad,
+    Estimator,
+    Limits,
+    OutlierDetector,
+    Plan,
+    Refused,
+    no_place_reason,
+)
+from limpetlanding.wire import JobAnswer, Placement, TaskSpec
+
+AWAY_RETRY_MS = 1000
+"""An endpoint announces itself every second."""
+
+Placer = Callable[
+    [Sequence[TaskSpec], Mapping[str, AgentLoad], float, Collection[str]], Plan
+]
+
+
+@dataclass(slots=True)
+class Refusal:
+    """Why a submission is not forwarded; `retry_after_ms` of 0 means never."""
+
+    reason: Reason
+    retry_after_ms: float = 0
+    detail: str = ''
+
+
+@dataclass(slots=True)
+class Ticket:
+    """An admitted job until its answer."""
+
+    customer: str
+    tasks: list[TaskSpec]
+    declared_ms: list[float | None]
+    placements: list[Placement]
+    deadline_ms: float
+    predicted_ms: float
+    admitted_at: float
+    moved: set[int] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class PolicyParts:
+    """State of the policies that one entry uses."""
+
+    admission: Admission
+    estimator: Estimator
+    detector: OutlierDetector
+    place: Placer
+
+
+class Gate:
+    """Decides on submissions and learns from their answers.
+
+    Parameters
+    ----------
+    parts : PolicyParts
+        Policies.
+    view : LoadView
+        Load of the agents.
+    share : callable
+        Returns the part of a customer's ``tasks_at_once`` that this entry
+        may use now, from its contract.
+    clock : callable
+        Returns monotonic seconds.
+    rng : random.Random
+        Spreads the retries of refused callers.
+    """
+
+    def __init__(
+        self,
+        parts: PolicyParts,
+        view: LoadView,
+        share: Callable[[Contract], float],
+        clock: Callable[[], float],
+        rng: Random,
+    ) -> None:
+        self.parts = parts
+        self.view = view
+        self.share = share
+        self.clock = clock
+        self.rng = rng
+        self.tickets: dict[str, Ticket] = {}
+
+    def check(
+        self, contract: Contract, submission: Submission
+    ) -> Refusal | None:
+        """Return what the contract forbids about a submission, if anything."""
+        allowed = set(contract.kinds)
+        for index, task in enumerate(submission.tasks):
+            if '*' not in allowed and task.kind not in allowed:
+                detail = f'tasks.{index}.kind: not in the contract'
+                return Refusal(Reason.KIND_NOT_ALLOWED, 0, detail)
+            if contract.max_task_size and task.size > contract.max_task_size:
+                detail = (
+                    f'tasks.{index}.size: {task.size} is over the limit of '
+                    f'{contract.max_task_size} in the contract'
+                )
+                return Refusal(Reason.TOO_LARGE, 0, detail)
+        return None
+
+    def admit(
+        self, contract: Contract, submission: Submission
+    ) -> Ticket | Refusal:
+        """Place and count a job, or say why it is refused."""
+        now = self.clock()
+        specs = self._specs(contract.customer, submission)
+        loads = self.view.loads(now)
+        plan = self.parts.place(specs, loads, now, ())
+        missing = next(
+            (s for s, p in zip(specs, plan.placements, strict=True) if not p),
+            None,
+        )
+        if missing is not None:
+            plan.undo()
+            return self._no_place(missing, loads)
+        deadline_ms = min(
+            contract.answer_within_ms,
+            submission.deadline_ms or contract.answer_within_ms,
+        )
+        decision = self.parts.admission.decide(
+            AdmissionRequest(
+                contract.customer,
+                len(specs),
+                sum(spec.expected_ms for spec in specs),
+                deadline_ms,
+            ),
+            self._limits(contract),
+            plan.predicted_ms,
+            _capacity(loads),
+            now,
+        )
+        if isinstance(decision, Refused):
+            plan.undo()
+            return Refusal(decision.reason, decision.retry_after_ms)
+        return Ticket(
+            contract.customer,
+            specs,
+            [task.run_ms for task in submission.tasks],
+            [placement for placement in plan.placements if placement],
+            deadline_ms,
+            plan.predicted_ms,
+            now,
+        )
+
+    def in_use(self, customer: str) -> int:
+        """Return how many tasks of a customer run through this entry."""
+        return self.parts.admission.usage(customer).tasks
+
+    def ended(self, ticket: Ticket, answer: JobAnswer | None) -> None:
+        """Stop counting a job and learn from its answer."""
+        self.parts.admission.task_ended(ticket.customer, len(ticket.tasks))
+        if answer is None:
+            return
+        now = self.clock()
+        if answer.outcome == Outcome.COMPLETE:
+            self.parts.admission.job_ended(
+                ticket.customer,
+                ticket.predicted_ms,
+                (now - ticket.admitted_at) * 1000,
+            )
+            self._learn(ticket, answer, now)
+        elif answer.reason in {Reason.TASK_ERROR, Reason.AGENT_LOST}:
+            failed = self.view.incarnation_of(answer.peer)
+            self.parts.detector.failed(failed, ticket.customer, now)
+
+    def place_again(
+        self, tasks: Sequence[TaskSpec], avoid: Collection[str]
+    ) -> Plan:
+        """Place tasks that have not started anew."""
+        now = self.clock()
+        return self.parts.place(tasks, self.view.loads(now), now, avoid)
+
+    def no_place_reason(self, task: TaskSpec) -> Reason:
+        """Return why a task has no place now."""
+        loads = self.view.loads(self.clock())
+        return no_place_reason(task, loads, self.view.kinds)
+
+    def _specs(self, customer: str, submission: Submission) -> list[TaskSpec]:
+        estimate = self.parts.estimator.estimate
+        specs = []
+        for index, task in enumerate(submission.tasks):
+            expected = estimate(customer, task.kind, task.run_ms)
+            specs.append(
+                TaskSpec(
+                    index,
+                    task.kind,
+                    task.payload,
+                    expected.mean_ms,
+                    expected.p90_ms,
+                    task.size,
+                )
+            )
+        return specs
+
+    def _no_place(
+        self, task: TaskSpec, loads: Mapping[str, AgentLoad]
+    ) -> Refusal:
+        reason = no_place_reason(task, loads, self.view.kinds)
+        away = reason == Reason.ENDPOINT_AWAY
+        # A wave of callers that wait for the same endpoint is spread out.
+        retry_ms = AWAY_RETRY_MS * self.rng.uniform(1, 2) if away else 0
+        detail = f'tasks.{task.index}.kind: {reason.replace("_", " ")}'
+        return Refusal(reason, retry_ms, detail)
+
+    def _limits(self, contract: Contract) -> Limits:
+        limits = contract.limits
+        share = self.share(contract)
+        # The rate is split like the number of tasks at once, so that a lent
+        # share brings its part of the rate along.
+        part = share / limits.tasks_at_once if limits.tasks_at_once else 0
+        return Limits(
+            share,
+            limits.tasks_per_second * part,
+            contract.peak_share,
+            frozenset(str(item) for item in contract.may_refuse),
+        )
+
+    def _learn(self, ticket: Ticket, answer: JobAnswer, now: float) -> None:
+        for item in answer.results:
+            spec = ticket.tasks[item.index]
+            self.parts.estimator.observe(
+                ticket.customer,
+                spec.kind,
+                ticket.declared_ms[item.index],
+                item.run_ms,
+                item.speed,
+            )
+            expected_ms = spec.expected_ms / (item.speed or 1)
+            if expected_ms > 0:
+                self.parts.detector.succeeded(
+                    self.view.incarnation_of(item.agent),
+                    ticket.customer,
+                    item.run_ms / expected_ms,
+                    now,
+                )
+
+
+def _capacity(loads: Mapping[str, AgentLoad]) -> float:
+    return sum(
+        endpoint.slots * endpoint.speed
+        for load in loads.values()
+        if load.usable
+        for endpoint in load.endpoints
+        if endpoint.serving
+    )
--- /dev/null
+++ b/src/limpetlanding/entry/core.py
@@ -0,0 +1,170 @@
+"""State of one entry, apart from its sockets."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from limpetlanding.entry.admission import Gate, PolicyParts
+from limpetlanding.entry.auth import Contract, Contracts
+from limpetlanding.entry.minting import Mint
+from limpetlanding.entry.moves import Mover, Planner
+from limpetlanding.entry.quota import Quota
+from limpetlanding.entry.router import Peer, Router, RouterOptions
+from limpetlanding.entry.submissions import SubmissionOptions, Submissions
+from limpetlanding.entry.supply import IdSupply
+from limpetlanding.entry.view import LoadView
+from limpetlanding.policy import ShareLedger
+from limpetlanding.wire import (
+    CoordinatorMoved,
+    Hello,
+    JobAnswer,
+    LoadReport,
+    PlaceAgain,
+    Placements,
+    ShareRequest,
+    ShareReturn,
+)
+
+
+@dataclass(slots=True)
+class CoreOptions:
+    """Options of the parts of an entry."""
+
+    router: RouterOptions = field(default_factory=RouterOptions)
+    submissions: SubmissionOptions = field(default_factory=SubmissionOptions)
+
+
+class EntryCore:
+    """Parts of one entry, wired together.
+
+    Parameters
+    ----------
+    hello : Hello
+        First frame of the entry; names its node and failure domain.
+    contracts : Contracts
+        Contracts in force.
+    parts : PolicyParts
+        Policies.
+    plan_moves : callable
+        Chooses the queued tasks to move.
+    rng : random.Random
+        Source of randomness.
+    clock : callable
+        Returns monotonic seconds.
+    options : CoreOptions, optional
+        Options.
+    """
+
+    def __init__(
+        self,
+        hello: Hello,
+        contracts: Contracts,
+        parts: PolicyParts,
+        plan_moves: Planner,
+        rng: Random,
+        clock: Callable[[], float],
+        options: CoreOptions | None = None,
+    ) -> None:
+        options = options or CoreOptions()
+        self.clock = clock
+        self.contracts = contracts
+        self.view = LoadView(parts.detector)
+        self.mint = Mint(hello.failure_domain)
+        self.router = Router(options.router, rng)
+        self.gate = Gate(parts, self.view, self._share, clock, rng)
+        self.quota = Quota(
+            ShareLedger(hello.node, hello.incarnation, clock()),
+            self.gate.in_use,
+            clock,
+        )
+        self.supply = IdSupply(
+            self.mint, self.router.agents, self.view.may_coordinate, clock
+        )
+        self.mover = Mover(self.gate, self.router, plan_moves)
+        self.submissions = Submissions(
+            self.router,
+            self.mint,
+            self.gate,
+            self.supply.refill,
+            self.quota.borrow,
+            options.submissions,
+        )
+        self.submissions.on_placed = self.mover.placed
+
+    def agent_up(self, channel: Peer) -> None:
+        """Use an agent that has connected."""
+        hello = channel.peer
+        replaced = self.view.incarnation_of(hello.node)
+        if replaced not in {'', hello.incarnation}:
+            self.agent_gone(replaced)
+        self.router.add_agent(channel)
+        self.view.add_agent(hello, lambda: channel.suspect)
+        self.mint.add_agent(hello.incarnation, hello.failure_domain)
+        self.supply.top_up()
+
+    def agent_gone(self, incarnation: str) -> None:
+        """Stop placing on an agent that is down, replaced or gone."""
+        self.view.drop_agent(incarnation)
+        self.mint.drop_agent(incarnation)
+
+    def entry_up(self, channel: Peer) -> None:
+        """Exchange shares with another entry."""
+        self.quota.entries[channel.peer.node] = channel
+
+    def entry_down(self, channel: Peer) -> None:
+        """Stop asking another entry for shares."""
+        if self.quota.entries.get(channel.peer.node) is channel:
+            self.quota.entries.pop(channel.peer.node)
+
+    async def handle(self, channel: Peer, message: Any) -> Any:
+        """Serve one message of an agent or entry; return the reply."""
+        incarnation = channel.peer.incarnation
+        match message:
+            case LoadReport():
+                self.view.report(incarnation, message, self.clock())
+            case PlaceAgain():
+                return self._place_again(message)
+            case CoordinatorMoved():
+                self.router.coordinator_moved(
+                    message.incarnation, message.successor_incarnation
+                )
+                self.mint.drop_agent(message.incarnation)
+            case ShareRequest():
+                return self.quota.lend(channel, message)
+            case ShareReturn():
+                self.quota.take_back(channel, message)
+            case JobAnswer():
+                self.router.stray_answer(channel, message)
+        return None
+
+    def loops(self) -> list[Any]:
+        """Return the coroutines that run as long as the entry."""
+        return [self.supply.run(), self.quota.run(), self.mover.run()]
+
+    async def run(self) -> None:
+        """Run the regular work of the entry until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for loop in self.loops():
+                group.create_task(loop)
+
+    def _share(self, contract: Contract) -> int:
+        return self.quota.share(contract)
+
+    def _place_again(self, message: PlaceAgain) -> Placements:
+        plan = self.gate.place_again(message.tasks, message.avoid)
+        placements = [placement for placement in plan.placements if placement]
+        missing = [
+            task
+            for task, placement in zip(
+                message.tasks, plan.placements, strict=True
+            )
+            if placement is None
+        ]
+        reason = self.gate.no_place_reason(missing[0]) if missing else ''
+        ticket = self.gate.tickets.get(message.job_id)
+        if ticket is not None:
+            for placement in placements:
+                ticket.placements[placement.index] = placement
+        return Placements(placements, reason)
--- /dev/null
+++ b/src/limpetlanding/entry/http.py
@@ -0,0 +1,384 @@
+"""HTTP API for callers."""
+
+import math
+import re
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import orjson
+from aiohttp import web
+from loguru import logger
+
+from limpetlanding.entry.api import (
+    MAX_BODY_BYTES,
+    MAX_WAIT_MS,
+    FieldError,
+    IdsAnswer,
+    IdsBody,
+    MalformedRequest,
+    Problem,
+    Submission,
+    parse_body,
+    parse_submission,
+)
+from limpetlanding.entry.auth import Contract, Contracts, authenticate
+from limpetlanding.jobs import InvalidJobId, Outcome, Reason, parse_job_id
+from limpetlanding.wire import JobAnswer
+
+REQUEST_ID = web.RequestKey('request_id', str)
+_REQUEST_ID_FORM = re.compile(r'[\x21-\x7e]{1,128}')
+_TRACEPARENT = re.compile(r'00-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}')
+_UNCHANGED = 'The state of the job id is unchanged.'
+
+# A problem of the request alone; it leaves the state of the id as it was.
+_STATUS_OF_REQUEST = {
+    Reason.CONFLICT: 409,
+    Reason.KIND_NOT_ALLOWED: 403,
+    Reason.TOO_LARGE: 413,
+    Reason.UNAUTHORIZED: 403,
+}
+_STATUS_OF_REFUSAL = {
+    Reason.KIND_NOT_ALLOWED: 403,
+    Reason.NO_ENDPOINT: 422,
+    Reason.OVER_LIMIT: 429,
+    Reason.TOO_LARGE: 422,
+    Reason.UNAUTHORIZED: 403,
+}
+_STATUS_OF_OUTCOME = {
+    Outcome.COMPLETE: 200,
+    Outcome.FAILED: 502,
+    Outcome.MAY_HAVE_RUN: 504,
+    Outcome.NOT_RUN: 503,
+}
+_TITLES = {
+    400: 'Malformed request',
+    401: 'Unknown customer key',
+    403: 'Not allowed by the contract',
+    404: 'Not found',
+    405: 'Method not allowed',
+    409: 'The id belongs to a different job',
+    413: 'Request too large',
+    422: 'The job can never run',
+    429: 'Over the limit of the contract',
+    500: 'Internal error',
+    502: 'The job failed',
+    503: 'The job was not run',
+    504: 'The job may have run',
+}
+_DOUBT = Outcome.MAY_HAVE_RUN
+
+
+class Jobs(Protocol):
+    """What the API needs of `limpetlanding.entry.submissions.Submissions`."""
+
+    async def mint(self, contract: Contract, count: int) -> list[str]:
+        """Return up to `count` fresh ids."""
+
+    async def submit(
+        self, contract: Contract, submission: Submission
+    ) -> JobAnswer:
+        """Run a job or join it."""
+
+    async def status(
+        self, contract: Contract, job_id: str, wait_ms: float
+    ) -> JobAnswer:
+        """Return the state of a job."""
+
+    async def cancel(
+        self, contract: Contract, job_id: str, request_id: str
+    ) -> JobAnswer:
+        """Stop what has not started."""
+
+
+class CallerApi:
+    """Handlers of the caller API.
+
+    Parameters
+    ----------
+    jobs : Jobs
+        Runs the requests.
+    contracts : Contracts
+        Contracts in force.
+    max_body_bytes : int
+        Largest request body.
+    """
+
+    def __init__(
+        self,
+        jobs: Jobs,
+        contracts: Contracts,
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ) -> None:
+        self.jobs = jobs
+        self.contracts = contracts
+        self.max_body_bytes = max_body_bytes
+
+    def application(self) -> web.Application:
+        """Return the aiohttp application with the routes of the API."""
+        app = web.Application(
+            client_max_size=self.max_body_bytes, middlewares=[problems]
+        )
+        app.add_routes(
+            (
+                web.post('/v1/ids', self.post_ids),
+                web.post('/v1/jobs', self.post_job),
+                web.get('/v1/jobs/{id}', self.get_job),
+                web.delete('/v1/jobs/{id}', self.delete_job),
+            )
+        )
+        return app
+
+    async def post_ids(self, request: web.Request) -> web.StreamResponse:
+        """Mint job ids."""
+        contract = self._authenticated(request)
+        body = parse_body(await self._body(request) or b'{}', IdsBody)
+        ids = await self.jobs.mint(contract, body.count)
+        if not ids:
+            return _problem(
+                request,
+                Problem(
+                    type='about:blank',
+                    title='No job ids available',
+                    status=503,
+                    detail='no agent that could coordinate jobs is connected',
+                    reason=Reason.ENDPOINT_AWAY,
+                    step='mint',
+                    retry_after_ms=1000,
+                ),
+            )
+        return _json(IdsAnswer(ids=ids).model_dump())
+
+    async def post_job(self, request: web.Request) -> web.StreamResponse:
+        """Submit a job, or join it if its id is known."""
+        contract = self._authenticated(request)
+        submission = parse_submission(await self._body(request))
+        if submission.job_id is not None:
+            _check_id(submission.job_id)
+        submission.request_id = request[REQUEST_ID]
+        submission.traceparent = _traceparent(request)
+        answer = await self.jobs.submit(contract, submission)
+        if not submission.wait and _running(answer):
+            return _json(_status_body(answer), 202)
+        return await self._answered(request, contract, answer)
+
+    async def get_job(self, request: web.Request) -> web.StreamResponse:
+        """Return the state of a job."""
+        contract = self._authenticated(request)
+        job_id = _check_id(request.match_info['id'])
+        answer = await self.jobs.status(contract, job_id, _wait_ms(request))
+        return _state(request, answer)
+
+    async def delete_job(self, request: web.Request) -> web.StreamResponse:
+        """Cancel what has not started of a job."""
+        contract = self._authenticated(request)
+        job_id = _check_id(request.match_info['id'])
+        answer = await self.jobs.cancel(contract, job_id, request[REQUEST_ID])
+        return _state(request, answer)
+
+    def _authenticated(self, request: web.Request) -> Contract:
+        header = request.headers.get('Authorization', '')
+        contract = authenticate(header, self.contracts)
+        if contract is None:
+            raise Unauthenticated
+        return contract
+
+    async def _body(self, request: web.Request) -> bytes:
+        # A body with a declared length is refused before it is read.
+        if (request.content_length or 0) > self.max_body_bytes:
+            raise web.HTTPRequestEntityTooLarge(
+                self.max_body_bytes, request.content_length
+            )
+        return await request.read()
+
+    async def _answered(
+        self, request: web.Request, contract: Contract, answer: JobAnswer
+    ) -> web.StreamResponse:
+        if answer.outcome == Outcome.COMPLETE:
+            return _json(_status_body(answer))
+        problem = problem_of(answer)
+        if answer.outcome == Outcome.NOT_RUN:
+            ids = await self.jobs.mint(contract, 1)
+            problem.next_id = ids[0] if ids else None
+        return _problem(request, problem)
+
+
+class Unauthenticated(Exception):
+    """The request names no customer key, or an unknown one."""
+
+
+def problem_of(answer: JobAnswer) -> Problem:
+    """Return the error body for an answer that is not complete.
+
+    Examples
+    --------
+    >>> problem_of(JobAnswer('a', 'not_run', 'over_limit')).status
+    429
+    """
+    reason = answer.reason
+    request_only = answer.outcome == '' and bool(reason)
+    if request_only:
+        status = _STATUS_OF_REQUEST.get(reason, 400)
+    elif answer.outcome == Outcome.NOT_RUN:
+        status = _STATUS_OF_REFUSAL.get(reason, 503)
+    else:
+        status = _STATUS_OF_OUTCOME.get(answer.outcome, 504)
+    if _running(answer):
+        # The coordinator still waits for the fate of a task.
+        reason = Reason.ENTRY_TIMEOUT
+    detail = answer.detail or reason.replace('_', ' ')
+    if request_only:
+        detail = f'{detail}. {_UNCHANGED}'
+    return Problem(
+        type=f'urn:limpetlanding:{reason or "error"}',
+        title=_TITLES[status],
+        status=status,
+        detail=detail,
+        outcome=None if request_only else answer.outcome or _DOUBT,
+        reason=reason,
+        step=answer.step,
+        peer=answer.peer,
+        id=answer.job_id or None,
+        retry_after_ms=answer.retry_after_ms or None,
+    )
+
+
+@web.middleware
+async def problems(
+    request: web.Request,
+    handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+) -> web.StreamResponse:
+    """Answer errors as problems and echo the request id."""
+    given = request.headers.get('X-Request-Id', '')
+    valid = _REQUEST_ID_FORM.fullmatch(given)
+    request[REQUEST_ID] = given if valid else secrets.token_hex(8)
+    try:
+        response = await handler(request)
+    except Exception as error:
+        if isinstance(error, web.HTTPException) and error.status < 400:
+            raise
+        response = _problem(request, _problem_of_error(request, error))
+    response.headers['X-Request-Id'] = request[REQUEST_ID]
+    return response
+
+
+def _problem_of_error(request: web.Request, error: Exception) -> Problem:
+    match error:
+        case MalformedRequest():
+            return _malformed(error.errors)
+        case InvalidJobId():
+            return _malformed([FieldError('id', str(error))])
+        case Unauthenticated():
+            return _rejected(401, Reason.UNAUTHORIZED)
+        case web.HTTPException():
+            return _of_http_error(error)
+    logger.bind(request_id=request[REQUEST_ID], step='http').opt(
+        exception=error
+    ).error('request failed')
+    # The job may have been forwarded before the fault.
+    return _rejected(500, '', 'internal error', Outcome.MAY_HAVE_RUN)
+
+
+def _rejected(
+    status: int, reason: str, detail: str = '', outcome: str | None = None
+) -> Problem:
+    if outcome is None:
+        detail = f'{detail}. {_UNCHANGED}' if detail else _UNCHANGED
+    return Problem(
+        type=f'urn:limpetlanding:{reason}' if reason else 'about:blank',
+        title=_TITLES.get(status, 'Request rejected'),
+        status=status,
+        detail=detail,
+        outcome=outcome,
+        reason=reason,
+        step='http',
+    )
+
+
+def _malformed(errors: list[FieldError]) -> Problem:
+    shown = '; '.join(f'{e.field}: {e.message}' for e in errors)
+    problem = _rejected(400, Reason.MALFORMED, shown)
+    problem.errors = [{'field': e.field, 'message': e.message} for e in errors]
+    return problem
+
+
+def _of_http_error(error: web.HTTPException) -> Problem:
+    reason = Reason.TOO_LARGE if error.status == 413 else Reason.MALFORMED
+    return _rejected(error.status, reason, error.text or error.reason)
+
+
+def _problem(request: web.Request, problem: Problem) -> web.Response:
+    problem.request_id = request[REQUEST_ID]
+    response = _json(problem.model_dump(), problem.status)
+    response.content_type = 'application/problem+json'
+    if problem.status == 401:
+        response.headers['WWW-Authenticate'] = 'Bearer'
+    if problem.retry_after_ms is not None:
+        # The header counts in seconds; the body has the exact delay.
+        seconds = max(1, math.ceil(problem.retry_after_ms / 1000))
+        response.headers['Retry-After'] = str(seconds)
+    return response
+
+
+def _json(body: object, status: int = 200) -> web.Response:
+    return web.Response(
+        body=orjson.dumps(body), status=status, content_type='application/json'
+    )
+
+
+def _status_body(answer: JobAnswer) -> dict[str, object]:
+    return {
+        'id': answer.job_id,
+        'outcome': answer.outcome or None,
+        'task_count': answer.task_count,
+        'digest': answer.digest,
+        'reason': answer.reason,
+        'step': answer.step,
+        'peer': answer.peer,
+        'detail': answer.detail,
+        'results': [
+            {
+                'index': item.index,
+                # The payload was parsed when the endpoint answered; it is
+                # passed on as it is, so that the digest stays valid.
+                'payload': orjson.Fragment(item.payload),
+                'run_ms': item.run_ms,
+                'queue_ms': item.queue_ms,
+                'agent': item.agent,
+                'endpoint': item.endpoint,
+            }
+            for item in answer.results
+        ],
+    }
+
+
+def _state(request: web.Request, answer: JobAnswer) -> web.Response:
+    """Return the state of a job; a decided one is no error here."""
+    if answer.outcome == '' and answer.reason:
+        return _problem(request, problem_of(answer))
+    if answer.reason == Reason.ENTRY_TIMEOUT:
+        # The coordinator did not answer, so this is not the job's outcome.
+        return _problem(request, problem_of(answer))
+    return _json(_status_body(answer), 202 if _running(answer) else 200)
+
+
+def _running(answer: JobAnswer) -> bool:
+    return answer.outcome == '' and not answer.reason
+
+
+def _check_id(text: str) -> str:
+    parse_job_id(text)
+    return text
+
+
+def _wait_ms(request: web.Request) -> float:
+    text = request.query.get('wait_ms', '0')
+    if not re.fullmatch(r'[0-9]{1,6}', text) or int(text) > MAX_WAIT_MS:
+        message = f'needs a whole number of ms, at most {MAX_WAIT_MS}'
+        raise MalformedRequest([FieldError('wait_ms', message)])
+    return int(text)
+
+
+def _traceparent(request: web.Request) -> str:
+    text = request.headers.get('traceparent', '')
+    return text if _TRACEPARENT.fullmatch(text) else ''
--- /dev/null
+++ b/src/limpetlanding/entry/quota.py
@@ -0,0 +1,123 @@
+"""Exchange of shares of the customers' limits between entries."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+
+from limpetlanding.entry.auth import Contract
+from limpetlanding.entry.router import Joiner, Peer
+from limpetlanding.errors import LimpetlandingError
+from limpetlanding.policy import ShareLedger
+from limpetlanding.wire import ShareGrant, ShareRequest, ShareReturn
+
+REQUEST_S = 0.2
+"""Far above a round trip between regions, and short enough for the caller
+that waits for the answer."""
+
+REFUSED_PAUSE_S = 0.1
+"""Pause after nobody could lend; under overload every refusal would ask the
+peers otherwise."""
+
+RETURN_S = 1
+
+
+class Quota:
+    """Shares of this entry and their exchange with the other entries.
+
+    Parameters
+    ----------
+    ledger : ShareLedger
+        State of the shares.
+    in_use : callable
+        Returns how many tasks of a customer run through this entry.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        ledger: ShareLedger,
+        in_use: Callable[[str], int],
+        clock: Callable[[], float],
+    ) -> None:
+        self.ledger = ledger
+        self.in_use = in_use
+        self.clock = clock
+        self.entries: dict[str, Peer] = {}
+        self.joiner = Joiner()
+        self.refused_until: dict[str, float] = {}
+
+    def share(self, contract: Contract) -> int:
+        """Return the part of ``tasks_at_once`` that this entry may use."""
+        now = self.clock()
+        limit = contract.limits.tasks_at_once
+        self.ledger.set_limit(contract.customer, limit, now)
+        return self.ledger.share(contract.customer, now)
+
+    async def borrow(self, contract: Contract, wanted: int) -> bool:
+        """Ask other entries until `wanted` tasks fit; tell if the share grew.
+
+        Callers that wait for the same customer share one exchange.
+        """
+        customer = contract.customer
+        if self.refused_until.get(customer, 0) > self.clock():
+            return False
+        before = self.share(contract)
+        await self.joiner.run(customer, lambda: self._borrow(customer, wanted))
+        return self.share(contract) > before
+
+    def lend(self, channel: Peer, message: ShareRequest) -> ShareGrant:
+        """Lend what this entry does not need."""
+        return self.ledger.on_request(
+            channel.peer.node,
+            message,
+            self.in_use(message.customer),
+            self.clock(),
+        )
+
+    def take_back(self, channel: Peer, message: ShareReturn) -> None:
+        """Use a lent share again."""
+        self.ledger.on_return(channel.peer.node, message)
+
+    async def run(self) -> None:
+        """Give back what is no longer needed."""
+        while True:
+            await asyncio.sleep(RETURN_S)
+            self.give_back()
+
+    def give_back(self) -> None:
+        """Return the shares that this entry does not use."""
+        now = self.clock()
+        self.refused_until = {
+            k: t for k, t in self.refused_until.items() if t > now
+        }
+        for customer in list(self.ledger.borrowed):
+            returns = self.ledger.give_back(
+                customer, self.in_use(customer), now
+            )
+            for node, message in returns:
+                channel = self.entries.get(node)
+                if channel is not None:
+                    channel.notify(message)
+
+    async def _borrow(self, customer: str, wanted: int) -> None:
+        for _ in self.ledger.members:
+            asked_at = self.clock()
+            wish = self.ledger.request(customer, wanted, asked_at)
+            if wish is None:
+                return
+            grant = await self._ask(*wish)
+            if grant is None or grant.amount <= 0:
+                break
+            self.ledger.on_grant(wish[0], grant, asked_at)
+        self.refused_until[customer] = self.clock() + REFUSED_PAUSE_S
+
+    async def _ask(self, node: str, message: ShareRequest) -> ShareGrant | None:
+        channel = self.entries.get(node)
+        if channel is None:
+            return None
+        with suppress(LimpetlandingError):
+            reply = await channel.request(message, REQUEST_S)
+            if isinstance(reply, ShareGrant):
+                return reply
+        return None
--- /dev/null
+++ b/src/limpetlanding/entry/router.py
@@ -0,0 +1,381 @@
+"""Requests about jobs, forwarded to the coordinator that decides."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from dataclasses import dataclass, field, replace
+from random import Random
+from typing import Any, Protocol
+
+from loguru import logger
+
+from limpetlanding.entry.answers import AnswerFault, answer_fault
+from limpetlanding.errors import LimpetlandingError, PeerLost, RequestTimeout
+from limpetlanding.jobs import Outcome, Reason, parse_job_id
+from limpetlanding.wire import (
+    CancelJob,
+    Hello,
+    JobAnswer,
+    LocateCoordinator,
+    Located,
+    QueryJob,
+    RefuseJob,
+    SubmitJob,
+)
+
+JobRequest = SubmitJob | RefuseJob | QueryJob | CancelJob
+
+
+class Peer(Protocol):
+    """What the router needs of a `limpetlanding.wire.Channel`."""
+
+    peer: Hello
+    closed: asyncio.Event
+    suspect: bool
+
+    def notify(self, message: Any) -> None:
+        """Send a message without reply."""
+
+    async def request(self, message: Any, timeout_s: float) -> Any:
+        """Return the reply."""
+
+
+@dataclass(slots=True)
+class RouterOptions:
+    """Time limits of the router, in seconds.
+
+    Parameters
+    ----------
+    reply_s : float
+        Longest wait for a reply beyond the time that the coordinator was
+        asked to wait.
+    locate_s : float
+        Longest search for a coordinator that is not connected. Agents dial
+        an entry within about a second of its start.
+    locate_round_s : float
+        Longest wait for the replies of one round of the search.
+    lost_ttl_s : float
+        A coordinator that was not found is not searched again for this
+        long, since callers resubmit in waves after an agent has died.
+    max_searches : int
+        Searches at the same time; each asks every agent of the region.
+    """
+
+    reply_s: float = 1
+    locate_s: float = 2
+    locate_round_s: float = 0.5
+    lost_ttl_s: float = 1
+    max_searches: int = 16
+    retry_min_s: float = 0.02
+    retry_max_s: float = 0.5
+    max_moved: int = 10_000
+
+
+@dataclass(slots=True)
+class _Call:
+    job_id: str
+    incarnation: str
+    message: JobRequest
+    task_count: int | None
+    wait_s: float
+    expires_at: float
+    started_at: float = field(default=0)
+
+
+class Router:
+    """Finds the coordinator of a job and forwards requests to it.
+
+    Parameters
+    ----------
+    options : RouterOptions, optional
+        Time limits.
+    rng : random.Random, optional
+        Source of the jitter between attempts.
+    """
+
+    def __init__(
+        self, options: RouterOptions | None = None, rng: Random | None = None
+    ) -> None:
+        self.options = options or RouterOptions()
+        self.rng = rng or Random()
+        self.loop = asyncio.get_running_loop()
+        self.agents: dict[str, Peer] = {}
+        self.moved: dict[str, str] = {}
+        self.lost: dict[str, float] = {}
+        self.searches: dict[str, asyncio.Task[str | None]] = {}
+        self.waiting: dict[str, set[asyncio.Future[None]]] = {}
+        self.events: Counter[str] = Counter()
+
+    def add_agent(self, channel: Peer) -> None:
+        """Forward to this agent what concerns its incarnation."""
+        incarnation = channel.peer.incarnation
+        self.agents[incarnation] = channel
+        self.lost.pop(incarnation, None)
+
+    def drop_agent(self, incarnation: str) -> None:
+        """Forget an agent whose incarnation is gone."""
+        self.agents.pop(incarnation, None)
+
+    def coordinator_moved(self, incarnation: str, successor: str) -> None:
+        """Send what concerns `incarnation` to its successor from now on.
+
+        Requests that wait for the old coordinator are sent again; it has
+        handed over its records, so it decides nothing any more.
+        """
+        if incarnation == successor:
+            return
+        self.moved[incarnation] = successor
+        self.lost.pop(incarnation, None)
+        while len(self.moved) > self.options.max_moved:
+            self.moved.pop(next(iter(self.moved)))
+        for future in self.waiting.pop(incarnation, ()):
+            if not future.done():
+                future.set_result(None)
+
+    async def ask(
+        self,
+        message: JobRequest,
+        wait_s: float = 0,
+        task_count: int | None = None,
+    ) -> JobAnswer:
+        """Return the coordinator's answer, or one that leaves the fate open.
+
+        Parameters
+        ----------
+        message : SubmitJob, RefuseJob, QueryJob or CancelJob
+            The request; it is idempotent by its job id, so it may be sent
+            again to the coordinator or to its successor.
+        wait_s : float
+            How long the coordinator may take before it answers.
+        task_count : int, optional
+            Number of tasks that a complete answer must have.
+
+        Raises
+        ------
+        InvalidJobId
+            If the id of the message is not a job id.
+        """
+        now = self.loop.time()
+        call = _Call(
+            message.job_id,
+            parse_job_id(message.job_id).incarnation,
+            message,
+            task_count,
+            wait_s,
+            now + wait_s + self.options.reply_s,
+            now,
+        )
+        attempt = 0
+        while True:
+            channel = await self._locate(call)
+            if channel is None:
+                return self._doubt(call, Reason.COORDINATOR_LOST, '')
+            answer = await self._attempt(call, channel)
+            if answer is not None:
+                return answer
+            pause_s = self._pause_s(attempt)
+            attempt += 1
+            if self.loop.time() + pause_s >= call.expires_at:
+                return self._doubt(
+                    call, Reason.ENTRY_TIMEOUT, channel.peer.node
+                )
+            await asyncio.sleep(pause_s)
+
+    def stray_answer(self, channel: Peer, answer: JobAnswer) -> None:
+        """Drop an answer that no request waits for."""
+        self._count_fault(AnswerFault.LATE, answer.job_id, channel.peer.node)
+
+    async def _attempt(self, call: _Call, channel: Peer) -> JobAnswer | None:
+        left_s = call.expires_at - self.loop.time()
+        if left_s <= 0:
+            return self._doubt(call, Reason.ENTRY_TIMEOUT, channel.peer.node)
+        message = self._with_time_left(call)
+        try:
+            answer = await self._request(channel, message, left_s)
+        except RequestTimeout as error:
+            return self._doubt(call, Reason.ENTRY_TIMEOUT, error.peer)
+        except PeerLost:
+            self._forget_closed(channel)
+            return None
+        except LimpetlandingError as error:
+            self.events['requests_failed'] += 1
+            logger.bind(step=error.step, peer=error.peer).info(
+                'job request failed: {}', error.detail
+            )
+            return None
+        if answer is None:
+            return None
+        fault = answer_fault(answer, call.job_id, call.task_count)
+        if fault is not None:
+            self._count_fault(fault, call.job_id, channel.peer.node)
+            return None
+        return answer
+
+    async def _request(
+        self, channel: Peer, message: JobRequest, left_s: float
+    ) -> Any:
+        """Return the reply, or None if the coordinator moved meanwhile."""
+        incarnation = channel.peer.incarnation
+        waiting = self.waiting.setdefault(incarnation, set())
+        moved = self.loop.create_future()
+        waiting.add(moved)
+        request = self.loop.create_task(channel.request(message, left_s))
+        try:
+            await asyncio.wait(
+                (request, moved), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            moved.cancel()
+            waiting.discard(moved)
+            if not waiting and self.waiting.get(incarnation) is waiting:
+                self.waiting.pop(incarnation)
+            if not request.done():
+                request.cancel()
+        if request.done() and not request.cancelled():
+            return request.result()
+        self.events['requests_rerouted'] += 1
+        return None
+
+    def coordinator(self, incarnation: str) -> Peer | None:
+        """Return the connected agent that answers for `incarnation`."""
+        followed = self._followed(incarnation)
+        return self.agents[followed] if self._open(followed) else None
+
+    async def _locate(self, call: _Call) -> Peer | None:
+        channel = self.coordinator(call.incarnation)
+        if channel is not None:
+            return channel
+        found = await self._search(call.incarnation)
+        return None if found is None else self.agents.get(found)
+
+    async def _search(self, incarnation: str) -> str | None:
+        if self.lost.get(incarnation, 0) > self.loop.time():
+            return None
+        search = self.searches.get(incarnation)
+        if search is None:
+            if len(self.searches) >= self.options.max_searches:
+                self.events['searches_refused'] += 1
+                return None
+            search = self.loop.create_task(self._search_rounds(incarnation))
+            self.searches[incarnation] = search
+            search.add_done_callback(
+                lambda _: self.searches.pop(incarnation, None)
+            )
+        return await asyncio.shield(search)
+
+    async def _search_rounds(self, incarnation: str) -> str | None:
+        ends_at = self.loop.time() + self.options.locate_s
+        while True:
+            found = await self._search_once(incarnation)
+            if found is not None:
+                return found
+            if self.loop.time() >= ends_at:
+                break
+            await asyncio.sleep(self.options.locate_round_s / 2)
+        now = self.loop.time()
+        self.lost = {k: t for k, t in self.lost.items() if t > now}
+        self.lost[incarnation] = now + self.options.lost_ttl_s
+        self.events['coordinators_lost'] += 1
+        return None
+
+    async def _search_once(self, incarnation: str) -> str | None:
+        """Ask every agent; the coordinator itself may connect meanwhile."""
+        followed = self._followed(incarnation)
+        if self._open(followed):
+            return followed
+        question = LocateCoordinator(incarnation)
+        tasks = {
+            self.loop.create_task(_located(channel, question, self.options))
+            for channel in self.agents.values()
+            if not channel.closed.is_set()
+        }
+        try:
+            for reply in asyncio.as_completed(tasks):
+                found = await reply
+                if found is not None:
+                    self.coordinator_moved(incarnation, found)
+                    return found
+        finally:
+            for task in tasks:
+                task.cancel()
+        return None
+
+    def _followed(self, incarnation: str) -> str:
+        seen = set()
+        while incarnation in self.moved and incarnation not in seen:
+            seen.add(incarnation)
+            incarnation = self.moved[incarnation]
+        return incarnation
+
+    def _open(self, incarnation: str) -> bool:
+        channel = self.agents.get(incarnation)
+        return channel is not None and not channel.closed.is_set()
+
+    def _forget_closed(self, channel: Peer) -> None:
+        self.events['peers_lost'] += 1
+        incarnation = channel.peer.incarnation
+        if self.agents.get(incarnation) is channel and channel.closed.is_set():
+            self.agents.pop(incarnation)
+
+    def _with_time_left(self, call: _Call) -> JobRequest:
+        elapsed_ms = (self.loop.time() - call.started_at) * 1000
+        if not elapsed_ms:
+            return call.message
+        changes = {
+            name: max(0, getattr(call.message, name) - elapsed_ms)
+            for name in ('deadline_ms', 'wait_ms')
+            if hasattr(call.message, name)
+        }
+        return replace(call.message, **changes)
+
+    def _pause_s(self, attempt: int) -> float:
+        base = self.options.retry_min_s * 2 ** min(attempt, 10)
+        return min(base, self.options.retry_max_s) * self.rng.uniform(0.5, 1)
+
+    def _count_fault(self, fault: AnswerFault, job_id: str, peer: str) -> None:
+        self.events[f'answers_{fault}'] += 1
+        logger.bind(step='answer', peer=peer).warning(
+            'dropped the answer to job {}: {}', job_id, fault.value
+        )
+
+    def _doubt(self, call: _Call, reason: Reason, peer: str) -> JobAnswer:
+        self.events[f'doubts_{reason}'] += 1
+        return JobAnswer(
+            call.job_id,
+            Outcome.MAY_HAVE_RUN,
+            reason,
+            task_count=call.task_count or 0,
+            step='coordinate',
+            peer=peer or call.incarnation,
+        )
+
+
+class Joiner:
+    """Lets callers with the same key share the answer to one request."""
+
+    def __init__(self) -> None:
+        self.running: dict[Any, asyncio.Task[Any]] = {}
+
+    async def run(self, key: Any, start: Callable[[], Awaitable[Any]]) -> Any:
+        """Return the result of the running request, or start one.
+
+        The request goes on when a caller is cancelled, because others may
+        have joined it.
+        """
+        task = self.running.get(key)
+        if task is None:
+            task = asyncio.ensure_future(start())
+            self.running[key] = task
+            task.add_done_callback(lambda _: self.running.pop(key, None))
+        return await asyncio.shield(task)
+
+
+async def _located(
+    channel: Peer, question: LocateCoordinator, options: RouterOptions
+) -> str | None:
+    with suppress(LimpetlandingError):
+        reply = await channel.request(question, options.locate_round_s)
+        if isinstance(reply, Located) and reply.known:
+            return channel.peer.incarnation
+    return None
--- /dev/null
+++ b/src/limpetlanding/entry/submissions.py
@@ -0,0 +1,259 @@
+"""Submissions of callers from admission to the answer."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from limpetlanding.entry.admission import Gate, Refusal, Ticket
+from limpetlanding.entry.api import Submission
+from limpetlanding.entry.auth import Contract
+from limpetlanding.entry.minting import Mint
+from limpetlanding.entry.router import Joiner, Router
+from limpetlanding.jobs import Outcome, Reason
+from limpetlanding.wire import (
+    CancelJob,
+    JobAnswer,
+    QueryJob,
+    RefuseJob,
+    SubmitJob,
+)
+
+
+@dataclass(slots=True)
+class SubmissionOptions:
+    """Time limits of submissions, in seconds.
+
+    Parameters
+    ----------
+    answer_margin_s : float
+        How long the coordinator may take beyond the deadline of a job to
+        find out the fate of its tasks.
+    mint_wait_s : float
+        Longest wait for an id block.
+    accept_s : float
+        Longest wait for the coordinator to accept a job whose caller does
+        not wait for the answer.
+    """
+
+    answer_margin_s: float = 1
+    mint_wait_s: float = 1
+    accept_s: float = 1
+
+
+class Submissions:
+    """Runs the requests of callers.
+
+    Parameters
+    ----------
+    router : Router
+        Forwards requests to coordinators.
+    mint : Mint
+        Id blocks.
+    gate : Gate
+        Admission and placement.
+    refill : callable
+        Asks agents for id blocks; returns when a block has arrived.
+    borrow : callable
+        Tries to raise this entry's share of a customer's limit so that it
+        covers a number of tasks; tells whether the share grew.
+    options : SubmissionOptions, optional
+        Time limits.
+    """
+
+    def __init__(
+        self,
+        router: Router,
+        mint: Mint,
+        gate: Gate,
+        refill: Callable[[float], Awaitable[None]],
+        borrow: Callable[[Contract, int], Awaitable[bool]],
+        options: SubmissionOptions | None = None,
+    ) -> None:
+        self.router = router
+        self.mint_state = mint
+        self.gate = gate
+        self.refill = refill
+        self.borrow = borrow
+        self.options = options or SubmissionOptions()
+        self.joiner = Joiner()
+        self.followers: set[asyncio.Task[None]] = set()
+        self.on_placed: Callable[[int], None] = lambda _: None
+
+    async def mint(self, contract: Contract, count: int) -> list[str]:
+        """Return up to `count` fresh ids, fewer only if none can be had."""
+        ends_at = self.gate.clock() + self.options.mint_wait_s
+        ids: list[str] = []
+        while len(ids) < count:
+            job_id = self.mint_state.mint(
+                contract.customer,
+                self.gate.view.may_coordinate,
+                self.gate.clock(),
+            )
+            if job_id is not None:
+                ids.append(str(job_id))
+                continue
+            left_s = ends_at - self.gate.clock()
+            if left_s <= 0:
+                break
+            await self.refill(left_s)
+        return ids
+
+    async def submit(
+        self, contract: Contract, submission: Submission
+    ) -> JobAnswer:
+        """Run a job, or join it, and return the answer.
+
+        Callers that submit the same job under the same id at the same time
+        share one answer.
+        """
+        refusal = self.gate.check(contract, submission)
+        if refusal is not None:
+            # Nothing was decided about the id; it may be used again.
+            return JobAnswer(
+                submission.job_id or '',
+                '',
+                refusal.reason,
+                detail=refusal.detail,
+                step='admit',
+            )
+        if submission.job_id is None:
+            ids = await self.mint(contract, 1)
+            if not ids:
+                return _no_coordinator()
+            submission.job_id = ids[0]
+        key = (
+            contract.customer,
+            submission.job_id,
+            submission.body_digest,
+            submission.wait,
+        )
+        return await self.joiner.run(
+            key, lambda: self._decide(contract, submission)
+        )
+
+    async def status(
+        self, contract: Contract, job_id: str, wait_ms: float
+    ) -> JobAnswer:
+        """Return the state of a job after up to `wait_ms`."""
+        return await self.router.ask(
+            QueryJob(job_id, contract.customer, wait_ms), wait_ms / 1000
+        )
+
+    async def cancel(
+        self, contract: Contract, job_id: str, request_id: str
+    ) -> JobAnswer:
+        """Stop what has not started of a job."""
+        return await self.router.ask(
+            CancelJob(job_id, contract.customer, request_id)
+        )
+
+    async def _decide(
+        self, contract: Contract, submission: Submission
+    ) -> JobAnswer:
+        decision = self.gate.admit(contract, submission)
+        if (
+            isinstance(decision, Refusal)
+            and decision.reason == Reason.OVER_LIMIT
+        ):
+            wanted = self.gate.in_use(contract.customer) + len(submission.tasks)
+            if await self.borrow(contract, wanted):
+                decision = self.gate.admit(contract, submission)
+        if isinstance(decision, Refusal):
+            return await self._refuse(contract, submission, decision)
+        return await self._run(submission, decision)
+
+    async def _refuse(
+        self, contract: Contract, submission: Submission, refusal: Refusal
+    ) -> JobAnswer:
+        """Have the coordinator record the refusal before the caller knows.
+
+        The coordinator answers with the record instead if the job is known,
+        and without its answer the fate of the id stays open.
+        """
+        answer = await self.router.ask(
+            RefuseJob(
+                submission.job_id or '',
+                contract.customer,
+                refusal.reason,
+                refusal.retry_after_ms,
+                submission.request_id,
+            )
+        )
+        if answer.outcome == Outcome.NOT_RUN:
+            answer.detail = answer.detail or refusal.detail
+            answer.step = answer.step or 'admit'
+        elif answer.outcome == '' and submission.wait and not answer.reason:
+            # The job is known and runs: the caller joins it.
+            wait_ms = contract.answer_within_ms
+            return await self.status(contract, submission.job_id or '', wait_ms)
+        return answer
+
+    async def _run(self, submission: Submission, ticket: Ticket) -> JobAnswer:
+        job_id = submission.job_id or ''
+        wait_s = ticket.deadline_ms / 1000 + self.options.answer_margin_s
+        first_s = wait_s if submission.wait else 0
+        message = SubmitJob(
+            job_id,
+            ticket.customer,
+            submission.body_digest,
+            ticket.tasks,
+            ticket.placements,
+            ticket.deadline_ms,
+            submission.repeatable,
+            wait_ms=first_s * 1000,
+            request_id=submission.request_id,
+            traceparent=submission.traceparent,
+        )
+        self.gate.tickets[job_id] = ticket
+        self.on_placed(len(ticket.tasks))
+        answer = None
+        try:
+            answer = await self.router.ask(message, first_s, len(ticket.tasks))
+        finally:
+            if (
+                answer is not None
+                and answer.outcome == ''
+                and not answer.reason
+            ):
+                self._follow(job_id, ticket, wait_s)
+            else:
+                self._end(job_id, ticket, answer)
+        return answer
+
+    def _follow(self, job_id: str, ticket: Ticket, wait_s: float) -> None:
+        """Count a job whose caller does not wait until it has ended."""
+        task = asyncio.create_task(self._wait_end(job_id, ticket, wait_s))
+        self.followers.add(task)
+        task.add_done_callback(self.followers.discard)
+
+    async def _wait_end(
+        self, job_id: str, ticket: Ticket, wait_s: float
+    ) -> None:
+        answer = None
+        try:
+            answer = await self.router.ask(
+                QueryJob(job_id, ticket.customer, wait_s * 1000),
+                wait_s,
+                len(ticket.tasks),
+            )
+        finally:
+            self._end(job_id, ticket, answer)
+
+    def _end(
+        self, job_id: str, ticket: Ticket, answer: JobAnswer | None
+    ) -> None:
+        if self.gate.tickets.get(job_id) is ticket:
+            self.gate.tickets.pop(job_id)
+        self.gate.ended(ticket, answer)
+
+
+def _no_coordinator() -> JobAnswer:
+    # No id exists, so there is no submission that could ever run.
+    return JobAnswer(
+        '',
+        Outcome.NOT_RUN,
+        Reason.ENDPOINT_AWAY,
+        step='mint',
+        detail='no agent that could coordinate the job is connected',
+        retry_after_ms=1000,
+    )
