Add the table of known entries

Entries and agents need to agree which entries exist, which incarnation of a node is the present one and who holds a share of the limits.

--- a/src/limpetlanding/membership/__init__.py
+++ b/src/limpetlanding/membership/__init__.py
@@ -1,1 +1,10 @@
 """Known entries and agents."""
+
+from limpetlanding.membership.table import (
+    Member,
+    MemberState,
+    MemberTable,
+    entry_info,
+)
+
+__all__ = ('Member', 'MemberState', 'MemberTable', 'entry_info')
