Run an entry as a process and stop it without cutting requests

A stop under load closed connections whose answer had announced that they stay open: aiohttp writes the Connection header before the prepare signal.

--- a/src/limpetlanding/entry/api.py
+++ b/src/limpetlanding/entry/api.py
@@ -27,7 +27,7 @@
 _MAX_ID_CHARS = 64
 
 Kind = Annotated[
-    str, StringConstraints(pattern=r'^[A-Za-z0-9][A-Za-z0-9._/-]{0,63}$')
+    str, StringConstraints(pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$')
 ]
 DeadlineMs = Annotated[
     float, Field(gt=0, le=MAX_DEADLINE_MS, allow_inf_nan=False)
--- a/src/limpetlanding/entry/core.py
+++ b/src/limpetlanding/entry/core.py
@@ -15,7 +15,7 @@
 from limpetlanding.entry.submissions import SubmissionOptions, Submissions
 from limpetlanding.entry.supply import IdSupply
 from limpetlanding.entry.view import LoadView
-from limpetlanding.policy import ShareLedger
+from limpetlanding.policy import AgentLoad, ShareLedger
 from limpetlanding.wire import (
     CoordinatorMoved,
     Hello,
@@ -149,6 +149,24 @@
             for loop in self.loops():
                 group.create_task(loop)
 
+    def status(self) -> dict[str, Any]:
+        """Return what ``/statusz`` tells of the work of the entry."""
+        now = self.clock()
+        loads = self.view.loads(now).values()
+        usages = self.gate.parts.admission.customers
+        return {
+            'agents': [_agent_status(load) for load in loads],
+            'jobs_in_flight': len(self.gate.tickets),
+            'tasks_by_customer': {
+                customer: usage.tasks
+                for customer, usage in usages.items()
+                if usage.tasks
+            },
+            'kinds': sorted(self.view.kinds),
+            'tasks_moved': self.mover.moved,
+            'events': dict(self.router.events),
+        }
+
     def _share(self, contract: Contract) -> int:
         return self.quota.share(contract)
 
@@ -168,3 +186,17 @@
             for placement in placements:
                 ticket.placements[placement.index] = placement
         return Placements(placements, reason)
+
+
+def _agent_status(load: AgentLoad) -> dict[str, Any]:
+    return {
+        'node': load.agent,
+        'incarnation': load.incarnation,
+        'failure_domain': load.failure_domain,
+        'queued_ms': load.queued_short_ms + load.queued_long_ms,
+        'slots': sum(x.slots for x in load.endpoints),
+        'busy': sum(x.busy for x in load.endpoints),
+        'suspect': load.suspect,
+        'draining': load.draining,
+        'ejected': load.ejected,
+    }
--- a/src/limpetlanding/entry/http.py
+++ b/src/limpetlanding/entry/http.py
@@ -356,6 +356,9 @@
     """Return the state of a job; a decided one is no error here."""
     if answer.outcome == '' and answer.reason:
         return _problem(request, problem_of(answer))
+    if _running(answer) and not answer.task_count:
+        problem = _rejected(404, '', 'no job was submitted under this id')
+        return _problem(request, problem)
     if answer.reason == Reason.ENTRY_TIMEOUT:
         # The coordinator did not answer, so this is not the job's outcome.
         return _problem(request, problem_of(answer))
--- /dev/null
+++ b/src/limpetlanding/entry/role.py
@@ -0,0 +1,389 @@
+"""Role entry: one process that serves callers."""
+
+import asyncio
+import signal
+import ssl
+from collections.abc import Callable, Collection, Mapping, Sequence
+from random import Random
+from typing import Any, Protocol
+
+from loguru import logger
+
+from limpetlanding.entry.admission import PolicyParts
+from limpetlanding.entry.auth import Contracts
+from limpetlanding.entry.core import EntryCore
+from limpetlanding.entry.http import CallerApi
+from limpetlanding.entry.operations import Operations
+from limpetlanding.entry.server import HttpServer
+from limpetlanding.errors import LimpetlandingError
+from limpetlanding.jobs import new_incarnation
+from limpetlanding.lifecycle import Lifecycle, ProcessState
+from limpetlanding.membership import MemberTable, entry_info
+from limpetlanding.policy import (
+    Admission,
+    AgentLoad,
+    Estimator,
+    Move,
+    NaiveAdmission,
+    OutlierDetector,
+    PlacedTask,
+    Plan,
+    choose_naive,
+    place,
+    plan_moves,
+)
+from limpetlanding.settings import Settings
+from limpetlanding.wire import (
+    PROTOCOL_VERSION,
+    Channel,
+    Hello,
+    Members,
+    Node,
+    NodeOptions,
+    TaskSpec,
+)
+
+MEMBERS_S = 2
+"""Interval of the exchange of members, as a guard against lost messages."""
+
+AGENTS_WAIT_S = 5
+"""An entry waits this long for its first agent before it is ready without
+one; agents reconnect within about a second."""
+
+
+class Replica(Contracts, Protocol):
+    """What an entry needs of its replica of the configuration."""
+
+    def digest(self) -> int:
+        """Return the digest over all versions, for heartbeats."""
+
+    def loaded(self) -> bool:
+        """Tell whether any configuration is known."""
+
+    def status(self) -> dict[str, Any]:
+        """Return what ``/statusz`` tells of the configuration."""
+
+    def heartbeat(self, channel: Channel, digest: int) -> None:
+        """Compare a peer's digest and fetch what is missing."""
+
+    async def handle(self, channel: Channel, message: Any) -> Any:
+        """Serve a message of the configuration exchange."""
+
+    async def run(self, reads_log: Callable[[], bool]) -> None:
+        """Keep the replica current until cancelled."""
+
+
+class EntryRole:
+    """One running entry.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the process.
+    replica : Replica
+        Replica of the configuration.
+    connect, serve : callable
+        Replacements for the functions of asyncio in tests.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        replica: Replica,
+        connect: Callable[..., Any] = asyncio.open_connection,
+        serve: Callable[..., Any] = asyncio.start_server,
+    ) -> None:
+        self.settings = settings
+        self.replica = replica
+        self.loop = asyncio.get_running_loop()
+        self.rng = Random()
+        self.hello = _hello(settings)
+        self.started_at = self.loop.time()
+        self.lifecycle = Lifecycle(ProcessState, settings.node)
+        self.stop_wanted = asyncio.Event()
+        self.members = MemberTable(settings.region)
+        self.core = EntryCore(
+            self.hello,
+            replica,
+            _policy_parts(settings, self.rng),
+            self._plan_moves,
+            self.rng,
+            self.loop.time,
+        )
+        self.node = Node(
+            self.hello, self._handle, _node_options(settings), connect, serve
+        )
+        self.node.config_digest = replica.digest
+        self.node.on_heartbeat = replica.heartbeat
+        self.node.on_peer_up = self._peer_up
+        self.node.on_peer_down = self._peer_down
+        self.operations = Operations(
+            lambda: self.lifecycle.state,
+            self._missing,
+            self._status,
+            self._metrics,
+            self.stop_wanted.set,
+        )
+        app = CallerApi(
+            self.core.submissions, replica, settings.max_body_bytes
+        ).application()
+        app.add_routes(self.operations.routes())
+        self.http = HttpServer(app, settings.stop_grace_s)
+
+    async def run(self) -> None:
+        """Serve until a stop is wanted, then stop without cutting requests."""
+        port = await self.http.start(
+            self.settings.http.host, self.settings.http.port
+        )
+        host = self.settings.advertise_host or self.settings.http.host
+        # The first frame of every link names the address, so it is set first.
+        self.hello.http_address = f'{host}:{port}'
+        await self.node.start()
+        self.members.own = entry_info(self.hello)
+        logger.bind(step='start').info(
+            'entry {} listens on {}, HTTP on {}',
+            self.hello.node,
+            self.hello.address,
+            self.hello.http_address,
+        )
+        work = [
+            asyncio.create_task(loop)
+            for loop in (
+                self.core.run(),
+                self._exchange_members(),
+                self.replica.run(self._reads_log),
+            )
+        ]
+        self.lifecycle.move(ProcessState.READY)
+        try:
+            await _first(self.stop_wanted, work)
+        finally:
+            await self._stop(work)
+
+    async def _stop(self, work: Sequence[asyncio.Task[None]]) -> None:
+        self.lifecycle.move(ProcessState.DRAINING)
+        logger.bind(step='stop').info(
+            'draining, {} requests in flight', self.http.in_flight
+        )
+        answered = await self.http.stop()
+        if not answered:
+            logger.bind(step='stop').warning(
+                'requests were in flight after {} s',
+                self.settings.stop_grace_s,
+            )
+        self.core.quota.give_back()
+        for task in work:
+            task.cancel()
+        await asyncio.gather(*work, return_exceptions=True)
+        await self.node.stop()
+        self.lifecycle.move(ProcessState.STOPPED)
+
+    async def _handle(self, channel: Channel, message: Any) -> Any:
+        if isinstance(message, Members):
+            if self.members.merge(message, self.loop.time()):
+                self._dial_members()
+            return None
+        reply = await self.core.handle(channel, message)
+        if reply is None:
+            reply = await self.replica.handle(channel, message)
+        return reply
+
+    def _peer_up(self, channel: Channel) -> None:
+        if channel.peer.role == 'agent':
+            self.core.agent_up(channel)
+        elif channel.peer.role == 'entry':
+            self.core.entry_up(channel)
+            info = entry_info(channel.peer)
+            if self.members.up(info, self.loop.time()):
+                self._members_changed()
+        channel.notify(self.members.told())
+
+    def _peer_down(self, channel: Channel) -> None:
+        incarnation = channel.peer.incarnation
+        if channel.peer.role == 'agent':
+            self.core.agent_gone(incarnation)
+        elif self.members.down(incarnation, self.loop.time()):
+            self.core.entry_down(channel)
+            self._members_changed()
+
+    def _members_changed(self) -> None:
+        self._share_limits()
+        self._dial_members()
+        told = self.members.told()
+        for channel in self.node.channels:
+            channel.notify(told)
+
+    def _dial_members(self) -> None:
+        wanted = {*self.settings.entries, *self.members.addresses()}
+        for address in wanted - {self.hello.address}:
+            self.node.keep_dialing(address)
+        for address in set(self.node.dialers) - wanted:
+            self.node.stop_dialing(address)
+
+    def _share_limits(self) -> None:
+        now = self.loop.time()
+        self.core.quota.ledger.set_members(self.members.sharing(now), now)
+
+    async def _exchange_members(self) -> None:
+        while True:
+            self.members.forget(self.loop.time())
+            self._members_changed()
+            await asyncio.sleep(MEMBERS_S)
+
+    def _reads_log(self) -> bool:
+        """Tell whether this entry is one of the two that read the log."""
+        readers = self.members.live(self.settings.region)[:2]
+        return self.hello.node in readers
+
+    def _missing(self) -> str:
+        if not self.replica.loaded():
+            return 'no configuration'
+        waited_s = self.loop.time() - self.started_at
+        if not self.core.view.watched and waited_s < AGENTS_WAIT_S:
+            return 'no agent'
+        return ''
+
+    def _status(self) -> dict[str, Any]:
+        return {
+            'role': 'entry',
+            'node': self.hello.node,
+            'incarnation': self.hello.incarnation,
+            'region': self.hello.region,
+            'failure_domain': self.hello.failure_domain,
+            'address': self.hello.address,
+            'http_address': self.hello.http_address,
+            'state': self.lifecycle.state,
+            'missing': self._missing(),
+            'uptime_s': self.loop.time() - self.started_at,
+            'requests_in_flight': self.http.in_flight,
+            'entries': {
+                node: member.state
+                for node, member in self.members.entries.items()
+            },
+            **self.core.status(),
+            **self.replica.status(),
+        }
+
+    def _metrics(self) -> str:
+        return ''
+
+    def _plan_moves(
+        self,
+        placed: Sequence[PlacedTask],
+        loads: Mapping[str, AgentLoad],
+        now: float,
+        budget: int,
+    ) -> list[Move]:
+        if self.settings.policy == 'naive':
+            return []
+        domain = self.hello.failure_domain
+        return plan_moves(placed, loads, domain, self.rng, now, budget)
+
+
+async def run_entry(settings: Settings, replica: Replica) -> None:
+    """Run an entry until SIGTERM, SIGINT or ``POST /drain``.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the process.
+    replica : Replica
+        Replica of the configuration.
+
+    Raises
+    ------
+    OSError
+        If an address cannot be used.
+    """
+    role = EntryRole(settings, replica)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, role.stop_wanted.set)
+    try:
+        await role.run()
+    finally:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.remove_signal_handler(number)
+
+
+async def _first(
+    stop: asyncio.Event, work: Sequence[asyncio.Task[None]]
+) -> None:
+    """Wait for a stop; a background task that ends early is an error."""
+    stopped = asyncio.create_task(stop.wait())
+    try:
+        done, _ = await asyncio.wait(
+            (stopped, *work), return_when=asyncio.FIRST_COMPLETED
+        )
+    finally:
+        stopped.cancel()
+    for task in done - {stopped}:
+        task.result()
+        raise LimpetlandingError('a background task ended', step='run')
+
+
+def _hello(settings: Settings) -> Hello:
+    host = settings.advertise_host or settings.listen.host
+    return Hello(
+        PROTOCOL_VERSION,
+        'entry',
+        settings.node,
+        new_incarnation(),
+        settings.failure_domain,
+        f'{host}:{settings.listen.port}',
+        '',
+        settings.region,
+    )
+
+
+def _node_options(settings: Settings) -> NodeOptions:
+    delay = settings.emulated_delay_ms
+    options = NodeOptions(listen_host=settings.listen.host)
+    if delay.own or delay.cross:
+        options.emulated_delay_ms = lambda here, there: (
+            delay.own if here == there else delay.cross
+        )
+    if settings.tls is not None:
+        options.server_tls = _tls(settings, ssl.Purpose.CLIENT_AUTH)
+        options.client_tls = _tls(settings, ssl.Purpose.SERVER_AUTH)
+    return options
+
+
+def _tls(settings: Settings, purpose: ssl.Purpose) -> ssl.SSLContext:
+    """Return a context in which both sides show a certificate."""
+    context = ssl.create_default_context(
+        purpose, cafile=str(settings.tls.authority)
+    )
+    context.load_cert_chain(settings.tls.certificate, settings.tls.key)
+    # Peers are addressed by IP and known by the authority of the deployment.
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+def _policy_parts(settings: Settings, rng: Random) -> PolicyParts:
+    naive = settings.policy == 'naive'
+    domain = settings.failure_domain
+
+    def place_naively(
+        tasks: Sequence[TaskSpec],
+        loads: Mapping[str, AgentLoad],
+        now: float,
+        _avoid: Collection[str],
+    ) -> Plan:
+        return Plan(choose_naive(tasks, loads, domain, rng, now))
+
+    def place_well(
+        tasks: Sequence[TaskSpec],
+        loads: Mapping[str, AgentLoad],
+        now: float,
+        avoid: Collection[str],
+    ) -> Plan:
+        return place(tasks, loads, domain, rng, now, avoid)
+
+    return PolicyParts(
+        NaiveAdmission() if naive else Admission(),
+        Estimator(),
+        OutlierDetector(),
+        place_naively if naive else place_well,
+    )
--- /dev/null
+++ b/src/limpetlanding/entry/server.py
@@ -0,0 +1,93 @@
+"""HTTP server of an entry, with a planned stop."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+KEEPALIVE_S = 75
+NOTICE_S = 2
+"""Time between the end of readiness and the end of the listener, in which
+the balancer's health checks notice; new requests are still served."""
+
+
+class HttpServer:
+    """Listener whose stop cuts no request.
+
+    Parameters
+    ----------
+    app : aiohttp.web.Application
+        The application.
+    stop_grace_s : float
+        Longest wait for requests in flight at the stop.
+    """
+
+    def __init__(self, app: web.Application, stop_grace_s: float) -> None:
+        self.app = app
+        self.stopping = False
+        self.in_flight = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self.stop_grace_s = stop_grace_s
+        self.server: asyncio.Server | None = None
+        # The outermost middleware sees the responses to errors as well.
+        app.middlewares.insert(0, self._counted)
+        self.runner = web.AppRunner(
+            app,
+            handle_signals=False,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_S,
+            shutdown_timeout=stop_grace_s,
+        )
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen; return the port.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be used.
+        """
+        await self.runner.setup()
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(self.runner.server, host, port)
+        if port:
+            return port
+        return self.server.sockets[0].getsockname()[1]
+
+    async def stop(self, notice_s: float = NOTICE_S) -> bool:
+        """Stop; tell whether every request in flight was answered.
+
+        Answers sent after the call close their connection, so that callers
+        move to other entries before the listener closes.
+        """
+        self.stopping = True
+        await asyncio.sleep(notice_s)
+        if self.server is not None:
+            self.server.close()
+        answered = True
+        try:
+            async with asyncio.timeout(self.stop_grace_s):
+                await self.idle.wait()
+        except TimeoutError:
+            answered = False
+        await self.runner.cleanup()
+        return answered
+
+    @web.middleware
+    async def _counted(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        self.in_flight += 1
+        self.idle.clear()
+        try:
+            response = await handler(request)
+        finally:
+            self.in_flight -= 1
+            if not self.in_flight:
+                self.idle.set()
+        if self.stopping:
+            response.force_close()
+        return response
--- a/src/limpetlanding/entry/tests/fakes.py
+++ b/src/limpetlanding/entry/tests/fakes.py
@@ -54,6 +54,24 @@
     def contract(self, customer):
         return self.by_customer.get(customer)
 
+    def digest(self):
+        return 0
+
+    def loaded(self):
+        return bool(self.by_customer)
+
+    def status(self):
+        return {'config_age_s': 0}
+
+    def heartbeat(self, channel, digest):
+        return None
+
+    async def handle(self, channel, message):
+        return None
+
+    async def run(self, reads_log):
+        await asyncio.Event().wait()
+
     def customer_of_key(self, key_hash):
         for contract in self.by_customer.values():
             if key_hash in contract.keys:
@@ -160,10 +178,12 @@
         if job_id in self.refused:
             return self.refused[job_id]
         if job_id not in self.jobs:
-            return JobAnswer(job_id, '')
+            return JobAnswer(job_id, '', detail='no job')
         job = self.jobs[job_id][1]
         await asyncio.wait((job,), timeout=wait_ms / 1000)
-        return job.result() if job.done() else JobAnswer(job_id, '')
+        if job.done():
+            return job.result()
+        return JobAnswer(job_id, '', task_count=1)
 
     async def _run(self, message):
         self.started.update((message.job_id, x.index) for x in message.tasks)
