--- a/src/limpetlanding/agent/calls.py
+++ b/src/limpetlanding/agent/calls.py
@@ -23,6 +23,9 @@
 MAX_RESULT_BYTES = 1024 * 1024
 _PROOF_STEP_S = 0.1
 _MAX_CROSSED = 3
+_RUN_MARGIN = 1.5
+# Declared run times are far off at times.
+_MAX_SILENCE_S = 10
 _MAX_DETAIL = 500
 _OK = 200
 _WRONG_INCARNATION = 412
@@ -114,7 +117,8 @@
         post = asyncio.create_task(self._post(session, endpoint, call))
         whole = False
         try:
-            await self._wait(post, endpoint, call)
+            silence_s = self._silence_s(endpoint, call, attempt)
+            await self._wait(post, endpoint, call, silence_s)
             if not post.done():
                 raise _NoAnswer('no answer in time', started)
             answer = post.result()
@@ -136,7 +140,11 @@
         return answer
 
     async def _wait(
-        self, post: asyncio.Task[_Answer], endpoint: Endpoint, call: Call
+        self,
+        post: asyncio.Task[_Answer],
+        endpoint: Endpoint,
+        call: Call,
+        silence_s: float,
     ) -> None:
         """Wait for the answer, the deadline, or silence that allows a repeat.
 
@@ -144,7 +152,7 @@
         since the call began; until then its answer may still come.
         """
         started = self.clock()
-        step_s = self.options.silence_s
+        step_s = silence_s
         while not post.done():
             left_s = call.deadline - self.clock()
             if left_s <= 0 or endpoint.superseded.done():
@@ -157,13 +165,23 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
             silent_s = self.clock() - started
-            silent = silent_s >= self.options.silence_s and not post.done()
+            silent = silent_s >= silence_s and not post.done()
             if silent and _proven(endpoint, started):
                 self.counters['silent_calls'] += 1
                 await endpoint.connections.discard_idle()
                 return
             step_s = _PROOF_STEP_S
 
+    def _silence_s(self, endpoint: Endpoint, call: Call, attempt: int) -> float:
+        """Return how long the call may stay silent before it is repeated.
+
+        Long tasks are silent while they run, so the time allows for the
+        expected run time and doubles with each repeat.
+        """
+        expected_s = call.spec.p90_ms / 1000 / endpoint.speed.speed
+        usual_s = max(self.options.silence_s, _RUN_MARGIN * expected_s)
+        return min(usual_s, _MAX_SILENCE_S) * 2 ** (attempt - 1)
+
     async def _post(
         self, session: aiohttp.ClientSession, endpoint: Endpoint, call: Call
     ) -> _Answer:
--- a/src/limpetlanding/agent/core.py
+++ b/src/limpetlanding/agent/core.py
@@ -1,7 +1,7 @@
 """Both parts of an agent without its sockets."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from typing import Any, Protocol
 
 from limpetlanding.agent.calls import Caller
@@ -22,6 +22,7 @@
     CancelJob,
     Handover,
     Hello,
+    LoadReport,
     LocateCoordinator,
     MoveTasks,
     PlaceAgain,
@@ -117,6 +118,35 @@
         self.executor.tick()
         self.coordinator.sweep()
 
+    @property
+    def busy(self) -> bool:
+        """Whether a job is coordinated or a task is held here."""
+        return self.coordinator.active > 0 or not self.executor.idle
+
+    def load(self) -> LoadReport:
+        """Return the load for the entries."""
+        report = self.executor.load()
+        report.draining = report.draining or self.coordinator.draining
+        return report
+
+    def status(self) -> dict[str, Any]:
+        """Return the state of both parts for ``/statusz``."""
+        coordinator = self.coordinator
+        report = self.load()
+        return {
+            'endpoints': [asdict(x) for x in report.endpoints],
+            'queued': report.queued,
+            'running': len(self.executor.running),
+            'jobs_active': coordinator.active,
+            'job_records': sum(
+                len(ledger.ended) for ledger in coordinator.ledgers.values()
+            ),
+            'incarnations': {
+                incarnation: 'moved' if incarnation in coordinator.moved else ''
+                for incarnation in coordinator.ledgers
+            },
+        }
+
     def peer_lost(self, incarnation: str) -> None:
         """Answer for the jobs that a lost predecessor still ran."""
         self.coordinator.end_origin(incarnation)
--- a/src/limpetlanding/agent/handover.py
+++ b/src/limpetlanding/agent/handover.py
@@ -89,6 +89,14 @@
         taken = [await self._hand_over(ledger, successor) for ledger in owned]
         return all(taken)
 
+    def given_to(self, successor: Peer) -> list[str]:
+        """Return the incarnations that `successor` answers for now."""
+        return [
+            incarnation
+            for incarnation, moved in self.coordinator.moved.items()
+            if moved.done() and moved.result() is successor
+        ]
+
     async def finish(self) -> None:
         """Wait until the answers of ended jobs have been sent on."""
         while self.updates:
--- /dev/null
+++ b/src/limpetlanding/agent/load.py
@@ -0,0 +1,64 @@
+"""Load reports to all entries, within a budget of control traffic."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from typing import Any
+
+from limpetlanding.wire import LoadReport
+from limpetlanding.wire.codec import FrameKind, encode_frame
+
+# Of the 7 KB/s for all control traffic of a node; heartbeats and the
+# exchange of configuration digests take the rest.
+BUDGET_BYTES_PER_S = 6000
+REFRESH_S = 1.0
+
+
+@dataclass(slots=True)
+class LoadReporter:
+    """Sends `LoadReport` when the load has changed.
+
+    A change after a quiet time is sent at once. Under steady change the
+    interval grows with the size of the report and the number of entries, so
+    that the traffic stays within the budget. Without change a report is
+    sent once a second, because notifications are lost with their link.
+
+    Parameters
+    ----------
+    report : callable
+        Returns the present load.
+    entries : callable
+        Returns the channels of the connected entries.
+    min_interval_s : float
+        Shortest interval.
+    """
+
+    report: Callable[[], LoadReport]
+    entries: Callable[[], Iterable[Any]]
+    min_interval_s: float = 0.02
+    budget: float = BUDGET_BYTES_PER_S
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def notice(self) -> None:
+        """Note that the load has changed."""
+        self.changed.set()
+
+    def send(self) -> float:
+        """Send a report and return the interval to the next, in seconds."""
+        self.changed.clear()
+        report = self.report()
+        sent = 0
+        size = len(encode_frame(FrameKind.NOTIFY, 0, report))
+        for channel in self.entries():
+            channel.notify(report)
+            sent += size
+        return max(self.min_interval_s, sent / self.budget)
+
+    async def run(self) -> None:
+        """Send reports until cancelled."""
+        while True:
+            await asyncio.sleep(self.send())
+            with suppress(TimeoutError):
+                async with asyncio.timeout(REFRESH_S):
+                    await self.changed.wait()
--- /dev/null
+++ b/src/limpetlanding/agent/peers.py
@@ -0,0 +1,151 @@
+"""How an agent reaches entries and other agents through its node."""
+
+import asyncio
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from limpetlanding.errors import LimpetlandingError, PeerLost
+from limpetlanding.wire import (
+    Channel,
+    Members,
+    Node,
+    PlaceAgain,
+    Placement,
+    Placements,
+    TaskSpec,
+)
+
+# Agents reconnect within a second; waiting longer for a link delays the
+# placement elsewhere.
+_DIAL_TIMEOUT_S = 1
+_PLACE_TIMEOUT_S = 1
+# Links to executors that are no longer placed at are not dialed again.
+_UNUSED_S = 60
+
+
+@dataclass(slots=True)
+class Peers:
+    """Links of one agent.
+
+    Parameters
+    ----------
+    node : Node
+        The node of the process.
+    entries : frozenset of str
+        Addresses of entries from the settings; always dialed.
+    """
+
+    node: Node
+    entries: frozenset[str]
+    told: set[str] = field(default_factory=set)
+    used_at: dict[str, float] = field(default_factory=dict)
+
+    def start(self) -> None:
+        """Dial the entries of the settings."""
+        for address in self.entries:
+            self.node.keep_dialing(address)
+
+    def connected(self, role: str) -> Iterator[Channel]:
+        """Yield the channels of peers of a role that have a link."""
+        return (
+            channel
+            for channel in self.node.channels
+            if channel.peer.role == role and channel.links
+        )
+
+    def responsive(self, role: str) -> list[Channel]:
+        """Return the channels of peers of a role that are not suspect."""
+        return [x for x in self.connected(role) if not x.suspect]
+
+    def members(self, message: Members) -> None:
+        """Dial the entries of the own region that an entry named."""
+        region = self.node.hello.region
+        named = {x.address for x in message.entries if x.region == region}
+        for address in named - self.told:
+            self.node.keep_dialing(address)
+        for address in self.told - named - self.entries:
+            channel = self.node.at_address.get(address)
+            # Another entry may know it: a linked one stays.
+            if channel is None or not channel.links:
+                self.node.stop_dialing(address)
+                self.told.discard(address)
+        self.told |= named
+
+    async def connect(self, placement: Placement) -> Channel:
+        """Return a channel with a link to an executor.
+
+        Raises
+        ------
+        PeerLost, RequestTimeout
+            If there is none; nothing was sent.
+        """
+        self.used_at[placement.address] = asyncio.get_running_loop().time()
+        channel = self.node.channel(placement.agent, placement.incarnation)
+        if channel is not None and channel.links:
+            return channel
+        return await self.node.dial(
+            placement.address, placement.incarnation, _DIAL_TIMEOUT_S
+        )
+
+    async def place(
+        self, message: PlaceAgain, preferred: Any = None
+    ) -> Placements:
+        """Ask an entry for placements, the preferred one first.
+
+        Raises
+        ------
+        LimpetlandingError
+            If no entry answers.
+        """
+        entries = self.responsive('entry')
+        entries.sort(key=lambda channel: channel is not preferred)
+        error: LimpetlandingError = PeerLost(
+            'no entry is connected', step='place'
+        )
+        for channel in entries:
+            try:
+                return await channel.request(message, _PLACE_TIMEOUT_S)
+            except LimpetlandingError as failure:
+                error = failure
+        raise error
+
+    async def successors(self, kinds: set[str]) -> list[Channel]:
+        """Return agents to hand records to, those of the own domain first."""
+        agents = self.responsive('agent')
+        if not agents and kinds:
+            agents = await self._placed_agents(kinds)
+        domain = self.node.hello.failure_domain
+        agents.sort(key=lambda x: x.peer.failure_domain != domain)
+        return agents
+
+    def forget_unused(self, now: float) -> None:
+        """Stop dialing executors that have not been used for a while."""
+        unused = [x for x, at in self.used_at.items() if now > at + _UNUSED_S]
+        for address in unused:
+            channel = self.node.at_address.get(address)
+            if channel is not None and channel.pending:
+                continue
+            del self.used_at[address]
+            if address not in self.entries | self.told:
+                self.node.stop_dialing(address)
+
+    async def _placed_agents(self, kinds: set[str]) -> list[Channel]:
+        # An agent that has placed nothing elsewhere knows no other agent;
+        # the entries do.
+        specs = [
+            TaskSpec(index, kind, b'null', 0, 0)
+            for index, kind in enumerate(sorted(kinds)[:10])
+        ]
+        own = [self.node.hello.node]
+        try:
+            reply = await self.place(PlaceAgain('', '', specs, own, 0))
+        except LimpetlandingError:
+            return []
+        found = {}
+        for placement in reply.placements:
+            if placement.agent not in own:
+                found[placement.agent] = placement
+        connecting = [self.connect(placement) for placement in found.values()]
+        channels = await asyncio.gather(*connecting, return_exceptions=True)
+        return [x for x in channels if isinstance(x, Channel)]
--- /dev/null
+++ b/src/limpetlanding/agent/role.py
@@ -0,0 +1,399 @@
+"""Role agent: wires node, coordinator, executor and HTTP service."""
+
+import asyncio
+import secrets
+import signal
+import ssl
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from aiohttp import web
+from loguru import logger
+
+from limpetlanding.agent.core import AgentCore, CoreOptions, CorePorts
+from limpetlanding.agent.load import LoadReporter
+from limpetlanding.agent.metrics import event_counts, render_metrics
+from limpetlanding.agent.options import (
+    CoordinatorOptions,
+    EndpointOptions,
+    ExecutorOptions,
+)
+from limpetlanding.agent.peers import Peers
+from limpetlanding.agent.records import RecordLimits
+from limpetlanding.agent.service import ServiceHooks, service
+from limpetlanding.jobs import new_incarnation
+from limpetlanding.lifecycle import Lifecycle, ProcessState
+from limpetlanding.policy import make_queue
+from limpetlanding.settings import Settings
+from limpetlanding.wire import (
+    PROTOCOL_VERSION,
+    Channel,
+    CoordinatorMoved,
+    Hello,
+    LoadReport,
+    Members,
+    Node,
+    NodeOptions,
+)
+
+TICK_S = 0.25
+# Entries learn of the stop by a load report within milliseconds; tasks that
+# are on their way until then are still accepted.
+NOTICE_S = 0.5
+SECRET_BYTES = 32
+KEEPALIVE_S = 75
+
+
+class Replica(Protocol):
+    """The agent's replica of the configuration."""
+
+    def digest(self) -> int:
+        """Return the digest over all versions, for heartbeats."""
+
+    def loaded(self) -> bool:
+        """Tell whether any configuration is known."""
+
+    def status(self) -> dict[str, Any]:
+        """Return what ``/statusz`` tells of the configuration."""
+
+    def heartbeat(self, channel: Channel, digest: int) -> None:
+        """Compare a peer's digest and fetch what is missing."""
+
+    async def handle(self, channel: Channel, message: Any) -> Any:
+        """Serve a message of the configuration exchange."""
+
+
+class NoReplica:
+    """Stands in where the agent is run without configuration."""
+
+    def digest(self) -> int:
+        """Return the digest of no records."""
+        return 0
+
+    def loaded(self) -> bool:
+        """Tell that nothing is missing."""
+        return True
+
+    def status(self) -> dict[str, Any]:
+        """Return no status."""
+        return {}
+
+    def heartbeat(self, channel: Channel, digest: int) -> None:
+        """Ignore the digest."""
+
+    async def handle(self, channel: Channel, message: Any) -> Any:
+        """Ignore the message."""
+
+
+@dataclass(slots=True)
+class AgentRole:
+    """One running agent.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the process.
+    replica : Replica
+        Replica of the configuration.
+    connect, serve : callable
+        Replacements for the functions of asyncio in tests.
+    """
+
+    settings: Settings
+    replica: Replica = field(default_factory=NoReplica)
+    connect: Callable[..., Any] = asyncio.open_connection
+    serve: Callable[..., Any] = asyncio.start_server
+    hello: Hello = field(init=False)
+    node: Node = field(init=False)
+    peers: Peers = field(init=False)
+    core: AgentCore = field(init=False)
+    reporter: LoadReporter = field(init=False)
+    lifecycle: Lifecycle[ProcessState] = field(init=False)
+    stop_wanted: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def __post_init__(self) -> None:
+        settings = self.settings
+        self.hello = _hello(settings)
+        self.lifecycle = Lifecycle(ProcessState, settings.node)
+        self.node = Node(
+            self.hello,
+            self._handle,
+            _node_options(settings),
+            self.connect,
+            self.serve,
+        )
+        self.node.config_digest = self.replica.digest
+        self.node.on_heartbeat = self.replica.heartbeat
+        self.node.on_peer_up = self._peer_up
+        self.node.on_peer_down = self._peer_down
+        self.peers = Peers(self.node, frozenset(settings.entries))
+        self.core = AgentCore(
+            settings.node,
+            self.hello.incarnation,
+            secrets.token_bytes(SECRET_BYTES),
+            CorePorts(
+                self.peers.connect,
+                self.peers.place,
+                asyncio.get_running_loop().time,
+            ),
+            core_options(settings),
+        )
+        self.reporter = LoadReporter(
+            self._load,
+            lambda: self.peers.connected('entry'),
+            settings.load_report_ms / 1000,
+        )
+        self.core.executor.on_load = self.reporter.notice
+        self.core.handovers.on_taken = self._taken
+
+    async def run(self) -> None:
+        """Serve until a stop is wanted, then stop without cutting requests."""
+        await self.node.start()
+        runner = await self._start_http()
+        self.peers.start()
+        work = [
+            asyncio.create_task(self.reporter.run()),
+            asyncio.create_task(self._tick()),
+        ]
+        self.lifecycle.move(ProcessState.READY)
+        logger.bind(step='start').info(
+            'agent {} listens on {}, HTTP on {}',
+            self.hello.node,
+            self.hello.address,
+            self.hello.http_address,
+        )
+        try:
+            await self.stop_wanted.wait()
+            await self._drain()
+        finally:
+            for task in work:
+                task.cancel()
+            await self.node.stop()
+            await self.core.endpoints.close()
+            await runner.cleanup()
+            self.lifecycle.move(ProcessState.STOPPED)
+
+    async def _start_http(self) -> web.AppRunner:
+        hooks = ServiceHooks(
+            self._missing,
+            self._status,
+            lambda: render_metrics(self.core),
+            self.stop_wanted.set,
+        )
+        runner = web.AppRunner(
+            service(self.core.endpoints, hooks),
+            handle_signals=False,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_S,
+        )
+        await runner.setup()
+        listen = self.settings.http
+        server = await asyncio.get_running_loop().create_server(
+            runner.server, listen.host, listen.port
+        )
+        port = listen.port or server.sockets[0].getsockname()[1]
+        host = self.settings.advertise_host or listen.host
+        self.hello.http_address = f'{host}:{port}'
+        return runner
+
+    async def _drain(self) -> None:
+        """Planned stop: no new work, then records, then what runs."""
+        self.lifecycle.move(ProcessState.DRAINING)
+        core = self.core
+        core.coordinator.draining = True
+        self.reporter.send()
+        await asyncio.sleep(NOTICE_S)
+        core.executor.drain()
+        logger.bind(step='stop').info(
+            'draining: {} jobs, {} tasks queued, {} running',
+            core.coordinator.active,
+            len(core.executor.queue),
+            len(core.executor.running),
+        )
+        await self._hand_over()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self.settings.stop_grace_s):
+                while core.busy:  # noqa: ASYNC110
+                    await asyncio.sleep(TICK_S)
+        core.executor.give_up_queue()
+        await core.handovers.finish()
+
+    async def _hand_over(self) -> None:
+        core = self.core
+        for successor in await self.peers.successors(
+            core.endpoints.known_kinds
+        ):
+            taken = await core.handovers.hand_over(successor)
+            peer = successor.peer
+            for incarnation in core.handovers.given_to(successor):
+                self._tell_entries(
+                    CoordinatorMoved(incarnation, peer.node, peer.incarnation)
+                )
+            if taken:
+                logger.bind(step='handover', peer=peer.node).info(
+                    'records handed over'
+                )
+                return
+        logger.bind(step='handover').warning('no agent took all records')
+
+    def _taken(self, incarnation: str) -> None:
+        self._tell_entries(
+            CoordinatorMoved(
+                incarnation, self.hello.node, self.hello.incarnation
+            )
+        )
+
+    def _tell_entries(self, message: Any) -> None:
+        for channel in self.peers.connected('entry'):
+            channel.notify(message)
+
+    async def _tick(self) -> None:
+        while True:
+            self.core.tick()
+            self.peers.forget_unused(asyncio.get_running_loop().time())
+            await asyncio.sleep(TICK_S)
+
+    async def _handle(self, channel: Channel, message: Any) -> Any:
+        if isinstance(message, Members):
+            self.peers.members(message)
+            return None
+        reply = await self.core.handle(channel, message)
+        if reply is None:
+            reply = await self.replica.handle(channel, message)
+        return reply
+
+    def _peer_up(self, channel: Channel) -> None:
+        if channel.peer.role == 'entry':
+            channel.notify(self._load())
+
+    def _peer_down(self, channel: Channel) -> None:
+        self.core.peer_lost(channel.peer.incarnation)
+
+    def _load(self) -> LoadReport:
+        return self.core.load()
+
+    def _missing(self) -> str:
+        if self.lifecycle.state != ProcessState.READY:
+            return str(self.lifecycle.state)
+        if not any(self.peers.connected('entry')):
+            return 'no entry is connected'
+        return '' if self.replica.loaded() else 'no configuration'
+
+    def _status(self) -> dict[str, Any]:
+        return {
+            'role': 'agent',
+            'node': self.hello.node,
+            'incarnation': self.hello.incarnation,
+            'region': self.hello.region,
+            'failure_domain': self.hello.failure_domain,
+            'address': self.hello.address,
+            'http_address': self.hello.http_address,
+            'state': self.lifecycle.state,
+            'missing': self._missing(),
+            **self.core.status(),
+            'events': event_counts(self.core),
+            'wire': self._wire_status(),
+            **self.replica.status(),
+        }
+
+    def _wire_status(self) -> dict[str, Any]:
+        counters = self.node.counters
+        return {
+            'messages_sent': dict(counters.sent.messages),
+            'bytes_sent': {
+                **counters.sent.byte_counts,
+                'hb': counters.sent.heartbeat_bytes,
+            },
+            **counters.events,
+        }
+
+
+async def run_agent(settings: Settings, replica: Replica | None = None) -> None:
+    """Run an agent until SIGTERM, SIGINT or ``POST /drain``.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the process.
+    replica : Replica, optional
+        Replica of the configuration.
+
+    Raises
+    ------
+    OSError
+        If an address cannot be used.
+    """
+    role = AgentRole(settings, replica or NoReplica())
+    with _stop_on_signals(role.stop_wanted.set):
+        await role.run()
+
+
+def core_options(settings: Settings) -> CoreOptions:
+    """Return the options of the parts for the settings of a process."""
+    limits = RecordLimits(
+        settings.retention_s, settings.max_records, settings.max_result_bytes
+    )
+    return CoreOptions(
+        CoordinatorOptions(limits, settings.max_job_s),
+        ExecutorOptions(
+            settings.retention_s, settings.max_job_s, settings.max_result_bytes
+        ),
+        EndpointOptions(
+            settings.endpoint_lease_ms / 1000,
+            settings.endpoint_silence_ms / 1000,
+        ),
+        lambda: make_queue(settings.policy, slots=0),
+    )
+
+
+@contextmanager
+def _stop_on_signals(stop: Callable[[], None]) -> Iterator[None]:
+    loop = asyncio.get_running_loop()
+    numbers = (signal.SIGTERM, signal.SIGINT)
+    for number in numbers:
+        loop.add_signal_handler(number, stop)
+    try:
+        yield
+    finally:
+        for number in numbers:
+            loop.remove_signal_handler(number)
+
+
+def _hello(settings: Settings) -> Hello:
+    host = settings.advertise_host or settings.listen.host
+    return Hello(
+        PROTOCOL_VERSION,
+        'agent',
+        settings.node,
+        new_incarnation(),
+        settings.failure_domain,
+        f'{host}:{settings.listen.port}',
+        '',
+        settings.region,
+    )
+
+
+def _node_options(settings: Settings) -> NodeOptions:
+    delay = settings.emulated_delay_ms
+    options = NodeOptions(listen_host=settings.listen.host)
+    if delay.own or delay.cross:
+        options.emulated_delay_ms = lambda here, there: (
+            delay.own if here == there else delay.cross
+        )
+    if settings.tls is not None:
+        options.server_tls = _tls(settings, ssl.Purpose.CLIENT_AUTH)
+        options.client_tls = _tls(settings, ssl.Purpose.SERVER_AUTH)
+    return options
+
+
+def _tls(settings: Settings, purpose: ssl.Purpose) -> ssl.SSLContext:
+    context = ssl.create_default_context(
+        purpose, cafile=str(settings.tls.authority)
+    )
+    context.load_cert_chain(settings.tls.certificate, settings.tls.key)
+    # Peers are addressed by IP address and trusted by their authority.
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
+    return context
--- a/src/limpetlanding/agent/tests/fakes.py
+++ b/src/limpetlanding/agent/tests/fakes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from contextlib import suppress
 from dataclasses import dataclass, field
 from itertools import count
 
@@ -9,7 +10,7 @@
 
 from limpetlanding.agent.core import AgentCore, CoreOptions, CorePorts
 from limpetlanding.agent.endpoints import Announcement
-from limpetlanding.errors import PeerLost, RequestTimeout
+from limpetlanding.errors import LimpetlandingError, PeerLost, RequestTimeout
 from limpetlanding.jobs import mint_job_id
 from limpetlanding.wire import (
     Hello,
@@ -50,7 +51,7 @@
         self.server = None
 
     async def start(self):
-        app = web.Application()
+        app = web.Application(client_max_size=1 << 24)
         app.add_routes([web.post('/v1/run', self._run)])
         self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=0)
         await self.runner.setup()
@@ -89,7 +90,8 @@
         change = self.behaviour.get(number)
         if change is not None:
             return await change(request, dict(answer))
-        return web.json_response(answer)
+        status = 500 if 'error' in answer else 200
+        return web.json_response(answer, status=status)
 
     async def _work(self, body):
         payload = body['payload']
@@ -153,12 +155,13 @@
         self.net.loop.create_task(self._deliver(message))
 
     async def request(self, message, timeout_s):
-        work = asyncio.ensure_future(self._request(message))
-        done, _ = await asyncio.wait([work], timeout=timeout_s)
-        if not done:
-            work.cancel()
-            raise RequestTimeout('no answer', step='x', peer=self.target)
-        return work.result()
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._request(message)
+        except TimeoutError as error:
+            raise RequestTimeout(
+                'no answer', step='x', peer=self.target
+            ) from error
 
     async def _request(self, message):
         self.net.sent.append((self.source, self.target, message))
@@ -166,6 +169,10 @@
             fault = self.net.fault(self.target, message)
             if fault == 'drop':
                 await asyncio.sleep(3600)
+            if fault == 'late':
+                # Stays in the buffers of an old link.
+                self.net.loop.create_task(self._deliver_late(message))
+                await asyncio.sleep(3600)
             if fault == 'slow':
                 await asyncio.sleep(1)
             reply = await self._deliver(message)
@@ -173,6 +180,11 @@
                 return reply
             await asyncio.sleep(1.5)
 
+    async def _deliver_late(self, message):
+        await asyncio.sleep(3)
+        with suppress(LimpetlandingError):
+            await self._deliver(message)
+
     async def _deliver(self, message):
         await asyncio.sleep(0.0005)
         core = self.net.agents.get(self.target)
@@ -204,12 +216,17 @@
     endpoints: list = field(default_factory=list)
     tasks: list = field(default_factory=list)
     cores: list = field(default_factory=list)
+    paused_s: float = 0
     numbers: count = field(default_factory=lambda: count(1))
 
     @property
     def loop(self):
         return asyncio.get_running_loop()
 
+    def clock(self):
+        """Return the time of the agents; `paused_s` is how long they slept."""
+        return self.loop.time() + self.paused_s
+
     def fault(self, target, message):
         for entry in self.faults:
             if entry[0] == target and isinstance(message, entry[1]):
@@ -236,7 +253,7 @@
             node,
             incarnation,
             b'secret',
-            CorePorts(connect, place, self.loop.time),
+            CorePorts(connect, place, self.clock),
             options or CoreOptions(),
         )
         self.agents[node] = core
