--- a/src/limpetlanding/entry/http.py
+++ b/src/limpetlanding/entry/http.py
@@ -14,6 +14,7 @@
     MAX_BODY_BYTES,
     MAX_WAIT_MS,
     FieldError,
+    FieldProblem,
     IdsAnswer,
     IdsBody,
     MalformedRequest,
@@ -298,7 +299,9 @@
 def _malformed(errors: list[FieldError]) -> Problem:
     shown = '; '.join(f'{e.field}: {e.message}' for e in errors)
     problem = _rejected(400, Reason.MALFORMED, shown)
-    problem.errors = [{'field': e.field, 'message': e.message} for e in errors]
+    problem.errors = [
+        FieldProblem(field=e.field, message=e.message) for e in errors
+    ]
     return problem
 
 
--- a/src/limpetlanding/entry/router.py
+++ b/src/limpetlanding/entry/router.py
@@ -83,6 +83,10 @@
     started_at: float = field(default=0)
 
 
+class _Moved(PeerLost):
+    """The request has to be sent to the successor."""
+
+
 class Router:
     """Finds the coordinator of a job and forwards requests to it.
 
@@ -204,8 +208,6 @@
                 'job request failed: {}', error.detail
             )
             return None
-        if answer is None:
-            return None
         fault = answer_fault(answer, call.job_id, call.task_count)
         if fault is not None:
             self._count_fault(fault, call.job_id, channel.peer.node)
@@ -215,7 +217,13 @@
     async def _request(
         self, channel: Peer, message: JobRequest, left_s: float
     ) -> Any:
-        """Return the reply, or None if the coordinator moved meanwhile."""
+        """Return the reply.
+
+        Raises
+        ------
+        _Moved
+            If the coordinator has moved meanwhile.
+        """
         incarnation = channel.peer.incarnation
         waiting = self.waiting.setdefault(incarnation, set())
         moved = self.loop.create_future()
@@ -235,7 +243,7 @@
         if request.done() and not request.cancelled():
             return request.result()
         self.events['requests_rerouted'] += 1
-        return None
+        raise _Moved('the coordinator moved', step='coordinate')
 
     def coordinator(self, incarnation: str) -> Peer | None:
         """Return the connected agent that answers for `incarnation`."""
@@ -313,10 +321,10 @@
         return channel is not None and not channel.closed.is_set()
 
     def _forget_closed(self, channel: Peer) -> None:
-        self.events['peers_lost'] += 1
         incarnation = channel.peer.incarnation
         if self.agents.get(incarnation) is channel and channel.closed.is_set():
             self.agents.pop(incarnation)
+            self.events['peers_lost'] += 1
 
     def _with_time_left(self, call: _Call) -> JobRequest:
         elapsed_ms = (self.loop.time() - call.started_at) * 1000
--- /dev/null
+++ b/src/limpetlanding/entry/tests/test_router.py
@@ -0,0 +1,271 @@
+import asyncio
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from limpetlanding.entry.router import Joiner, Router
+from limpetlanding.entry.tests.fakes import FakeAgent, incarnation
+from limpetlanding.jobs import mint_job_id
+from limpetlanding.wire import (
+    LocateCoordinator,
+    Placement,
+    QueryJob,
+    RefuseJob,
+    SubmitJob,
+    TaskSpec,
+)
+
+
+def job_id(number=1, sequence=1):
+    minted = mint_job_id(incarnation(number), sequence, 'offcut', b'secret')
+    return str(minted)
+
+
+def submission(number=1, tasks=2, digest='d', wait_ms=2000, sequence=1):
+    return SubmitJob(
+        job_id(number, sequence),
+        'offcut',
+        digest,
+        [TaskSpec(x, 'cut', b'%d' % x, 100, 200) for x in range(tasks)],
+        [Placement(x, 'agent-1', incarnation(1), 'a:1') for x in range(tasks)],
+        2000,
+        False,
+        wait_ms=wait_ms,
+    )
+
+
+def make_router(*agents):
+    router = Router(rng=Random(3))
+    for agent in agents:
+        router.add_agent(agent)
+    return router
+
+
+async def submit(router, message=None):
+    message = message or submission()
+    count = len(message.tasks)
+    return await router.ask(message, message.wait_ms / 1000, count)
+
+
+def crossed(answer):
+    return replace(answer, job_id=job_id(sequence=99))
+
+
+def cut_short(answer):
+    return replace(answer, results=answer.results[:-1])
+
+
+def consistent_but_short(answer):
+    return replace(answer, results=answer.results[:-1], task_count=1)
+
+
+def altered(answer):
+    results = [replace(x, payload=b'"x"') for x in answer.results]
+    return replace(answer, results=results)
+
+
+def swapped(answer):
+    return replace(answer, results=answer.results[::-1])
+
+
+def undefined(answer):
+    return replace(answer, outcome='partial')
+
+
+class TestAnswers:
+    @pytest.mark.parametrize(
+        ('spoil', 'event'),
+        [
+            (crossed, 'answers_crossed'),
+            (cut_short, 'answers_short'),
+            (consistent_but_short, 'answers_short'),
+            (swapped, 'answers_short'),
+            (altered, 'answers_digest'),
+            (undefined, 'answers_malformed'),
+            (lambda _: None, 'answers_malformed'),
+        ],
+    )
+    async def test_faulty_answer_is_dropped_and_asked_again(self, spoil, event):
+        # Guards against a partial or a foreign answer told to a caller.
+        agent = FakeAgent()
+        agent.spoil = [spoil]
+        router = make_router(agent)
+        answer = await submit(router)
+        assert answer.outcome == 'complete'
+        assert [x.payload for x in answer.results] == [b'0', b'1']
+        assert router.events[event] == 1
+        assert set(agent.started.values()) == {1}
+
+    async def test_only_faulty_answers_leave_the_fate_open(self):
+        agent = FakeAgent()
+        agent.spoil = [crossed] * 1000
+        answer = await submit(make_router(agent))
+        assert (answer.outcome, answer.reason) == (
+            'may_have_run',
+            'entry_timeout',
+        )
+        assert answer.results == []
+
+    async def test_late_answer_is_dropped_and_counted(self):
+        agent = FakeAgent()
+        router = make_router(agent)
+        router.stray_answer(agent, await submit(router))
+        assert router.events['answers_late'] == 1
+
+
+class TestCoordinatorGone:
+    async def test_lost_incarnation_leaves_the_fate_open(self):
+        # Guards against a job that is started again elsewhere.
+        agent, other = FakeAgent(1), FakeAgent(2)
+        router = make_router(agent, other)
+        running = asyncio.create_task(submit(router))
+        await asyncio.sleep(0.05)
+        agent.closed.set()
+        answer = await running
+        assert answer.outcome == 'may_have_run'
+        assert answer.reason == 'coordinator_lost'
+        assert not other.started
+
+    async def test_refusal_is_not_told_without_the_coordinator(self):
+        # Guards against a not_run that a concurrent submission makes untrue.
+        agent = FakeAgent()
+        agent.closed.set()
+        message = RefuseJob(job_id(), 'offcut', 'overload', 100)
+        answer = await make_router(agent).ask(message)
+        assert answer.outcome == 'may_have_run'
+
+    async def test_wave_of_requests_searches_once(self):
+        # Guards against a search of all agents for each resubmission.
+        other = FakeAgent(2)
+        router = make_router(other)
+        asked = [
+            router.ask(QueryJob(job_id(1, x + 1), 'offcut')) for x in range(50)
+        ]
+        answers = await asyncio.gather(*asked)
+        again = await router.ask(QueryJob(job_id(), 'offcut'))
+        assert {x.reason for x in [*answers, again]} == {'coordinator_lost'}
+        assert router.events['coordinators_lost'] == 1
+        assert len(other.received) < 20
+
+    async def test_searches_for_made_up_ids_are_bounded(self):
+        # Guards against a caller that has every agent asked for many ids.
+        other = FakeAgent(2)
+        router = make_router(other)
+        asked = [
+            router.ask(QueryJob(job_id(x + 100), 'offcut')) for x in range(200)
+        ]
+        answers = await asyncio.gather(*asked)
+        assert {x.outcome for x in answers} == {'may_have_run'}
+        assert router.events['searches_refused'] == 200 - 16
+
+    async def test_coordinator_that_connects_during_the_search_is_used(self):
+        # Guards against a restarted entry that gives up jobs too early.
+        agent = FakeAgent()
+        router = make_router()
+        running = asyncio.create_task(submit(router))
+        await asyncio.sleep(0.4)
+        router.add_agent(agent)
+        answer = await running
+        assert answer.outcome == 'complete'
+
+
+class TestCoordinatorMoved:
+    async def test_waiting_request_goes_to_the_successor(self):
+        # Guards against a request that waits for an agent that has stopped.
+        old, successor = FakeAgent(1), FakeAgent(2)
+        old.silent = True
+        router = make_router(old, successor)
+        running = asyncio.create_task(submit(router))
+        await asyncio.sleep(0.01)
+        router.coordinator_moved(incarnation(1), incarnation(2))
+        answer = await running
+        assert answer.outcome == 'complete'
+        assert router.events['requests_rerouted'] == 1
+
+    async def test_successor_is_found_by_asking(self):
+        # Guards against an entry that missed the notice of the move.
+        successor = FakeAgent(2)
+        successor.answers_for.add(incarnation(1))
+        router = make_router(FakeAgent(3), successor)
+        answer = await submit(router)
+        again = await submit(router)
+        assert answer.outcome == again.outcome == 'complete'
+        questions = [
+            x for x in successor.received if isinstance(x, LocateCoordinator)
+        ]
+        assert len(questions) == 1
+
+    async def test_silent_agents_do_not_block_the_search(self):
+        silent, successor = FakeAgent(2), FakeAgent(3)
+        silent.silent = True
+        successor.answers_for.add(incarnation(1))
+        answer = await submit(make_router(silent, successor))
+        assert answer.outcome == 'complete'
+
+    async def test_successor_that_moved_too_is_followed(self):
+        old, last = FakeAgent(1), FakeAgent(3)
+        old.closed.set()
+        router = make_router(old, last)
+        router.coordinator_moved(incarnation(1), incarnation(2))
+        router.coordinator_moved(incarnation(2), incarnation(3))
+        answer = await submit(router)
+        assert answer.outcome == 'complete'
+
+    async def test_circle_of_moves_ends(self):
+        router = make_router()
+        router.coordinator_moved(incarnation(1), incarnation(2))
+        router.coordinator_moved(incarnation(2), incarnation(1))
+        answer = await submit(router)
+        assert answer.reason == 'coordinator_lost'
+
+
+class TestCoordinatorPaused:
+    async def test_request_waits_for_a_paused_coordinator(self):
+        agent = FakeAgent()
+        agent.delay_s = 1.5
+        answer = await submit(make_router(agent))
+        assert answer.outcome == 'complete'
+
+    async def test_silence_past_the_wait_leaves_the_fate_open(self):
+        # Guards against callers that wait without end.
+        agent = FakeAgent()
+        agent.silent = True
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        answer = await submit(make_router(agent))
+        assert answer.reason == 'entry_timeout'
+        assert loop.time() - started_at == pytest.approx(3, abs=0.01)
+
+    async def test_repeated_request_carries_the_time_left(self):
+        # Guards against a deadline that starts anew with each attempt.
+        agent, successor = FakeAgent(1), FakeAgent(2)
+        agent.silent = True
+        router = make_router(agent, successor)
+        running = asyncio.create_task(submit(router))
+        await asyncio.sleep(0.5)
+        router.coordinator_moved(incarnation(1), incarnation(2))
+        await running
+        sent = successor.received[0]
+        assert sent.deadline_ms <= 1500
+        assert sent.wait_ms <= 1500
+
+
+class TestJoiner:
+    async def test_cancelled_caller_does_not_end_the_shared_request(self):
+        # Guards against a caller that hangs up on those who joined it.
+        joiner = Joiner()
+        started = []
+
+        async def work():
+            started.append(1)
+            await asyncio.sleep(1)
+            return 'answer'
+
+        first = asyncio.create_task(joiner.run('key', work))
+        second = asyncio.create_task(joiner.run('key', work))
+        await asyncio.sleep(0.1)
+        first.cancel()
+        assert await second == 'answer'
+        assert started == [1]
+        assert not joiner.running
