--- a/src/limpetlanding/agent/tests/test_endpoints.py
+++ b/src/limpetlanding/agent/tests/test_endpoints.py
@@ -239,6 +239,6 @@
     async def test_speed_is_learned(self, net):
         core = net.add_agent('a')
         await net.add_endpoint(core, 9001, run_s=0.05)
-        await asyncio.gather(*[run_one(net, core) for _ in range(100)])
+        await asyncio.gather(*[run_one(net, core) for _ in range(300)])
         speed = core.load().endpoints[0].speed
         assert 1.8 < speed <= 2
