Add the configuration store, log reader and replication

Change: a store whose versions only rise and whose digest is kept up to date by XOR; a reader for two entries of each region, which also restates old contracts; pulls by version vector when digests differ. ConfigWanted and ConfigRecords get a field each for the age of the knowledge: two replicas that agree with each other during an outage do not confirm each other. Ruled out: counting agreement with any entry as confirmation, since the age then stayed at 0 for the whole outage.

--- a/src/limpetlanding/config/__init__.py
+++ b/src/limpetlanding/config/__init__.py
@@ -1,1 +1,21 @@
-"""Replicated configuration of a process."""
+"""Configuration in force: store, log reader and replication."""
+
+from limpetlanding.config.reader import ConfigReader, is_reader
+from limpetlanding.config.replication import Replication, config_status
+from limpetlanding.config.store import (
+    ConfigStore,
+    Stored,
+    UnacceptableRecord,
+    Unreadable,
+)
+
+__all__ = (
+    'ConfigReader',
+    'ConfigStore',
+    'Replication',
+    'Stored',
+    'UnacceptableRecord',
+    'Unreadable',
+    'config_status',
+    'is_reader',
+)
--- /dev/null
+++ b/src/limpetlanding/config/reader.py
@@ -0,0 +1,260 @@
+"""Reading of the log by an entry, and restatement of old contracts."""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from random import Random
+
+from loguru import logger
+
+from limpetlanding.config.store import ConfigStore
+from limpetlanding.contracts import (
+    CustomerState,
+    Decision,
+    Entry,
+    Ledger,
+    Record,
+    RecordKind,
+    Verdict,
+    read_page,
+    restatement_id,
+)
+from limpetlanding.errors import LimpetlandingError
+from limpetlanding.logservice import LogClient
+from limpetlanding.wire import EntryInfo
+
+READERS_PER_REGION = 2
+WAIT_MS = 10_000
+# Log records carry their author's wall clock; what is further in the future
+# than this is not taken for an age.
+MAX_CLOCK_SKEW_S = 3_600
+# The readers of all regions find the same contracts due; each waits a random
+# part of this time, and the first append spares the others theirs.
+RESTATE_SPREAD_S = 120
+RESTATE_CHECK_S = 30
+REFUSED_WAIT_S = 5
+
+
+def is_reader(own: EntryInfo, live: Iterable[EntryInfo]) -> bool:
+    """Tell whether the entry `own` reads the log.
+
+    Two entries of each region do: those with the lowest node names of the
+    live ones. The second one keeps changes flowing when the first dies.
+
+    Parameters
+    ----------
+    own : EntryInfo
+        This entry.
+    live : iterable of EntryInfo
+        Other entries that are up, of any region.
+
+    Examples
+    --------
+    >>> entries = [EntryInfo(name, '', '', '', 'punjab') for name in 'abc']
+    >>> [is_reader(entry, entries) for entry in entries]
+    [True, True, False]
+    """
+    rivals = {entry.node for entry in live if entry.region == own.region}
+    return sorted(rivals | {own.node}).index(own.node) < READERS_PER_REGION
+
+
+@dataclass(frozen=True, slots=True)
+class _Moment:
+    # Time on the wall clock that belongs to one version of a customer.
+    version: int
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Restatement:
+    # What is to be stated again, and as of which offset it is known.
+    entry: Entry
+    as_of: int
+
+
+class ConfigReader:
+    """Reads the log into the store while this entry is one of the readers.
+
+    Parameters
+    ----------
+    store : ConfigStore
+        Takes the accepted contracts.
+    log : LogClient
+        The configuration stream.
+    node : str
+        Name of this entry, the author of restatements.
+    retention_s : float
+        Age at which the log removes records, in seconds.
+    wall : callable
+        Wall clock in seconds since 1970.
+    rng : Random, optional
+        Source of the spread of restatements.
+    """
+
+    def __init__(
+        self,
+        store: ConfigStore,
+        log: LogClient,
+        node: str,
+        retention_s: float,
+        wall: Callable[[], float] = time.time,
+        rng: Random | None = None,
+    ) -> None:
+        self.store = store
+        self.log = log
+        self.node = node
+        self.retention_s = retention_s
+        self.wall = wall
+        self.rng = rng or Random()
+        self.ledger = Ledger(rules=store.rules)
+        # When the version in force was last written to the log, and when it
+        # is to be written again unless another reader does so before.
+        self.written: dict[str, _Moment] = {}
+        self.due: dict[str, _Moment] = {}
+        self.caught_up = False
+
+    async def run(self, is_reading: Callable[[], bool]) -> None:
+        """Read while `is_reading` holds; look once a second whether it does.
+
+        Parameters
+        ----------
+        is_reading : callable
+            Whether this entry is one of the readers now.
+        """
+        while True:
+            if is_reading():
+                await self._read_while(is_reading)
+            await asyncio.sleep(1)
+
+    async def read(self) -> None:
+        """Read the log into the store, for ever."""
+        while True:
+            try:
+                page, decisions = await read_page(
+                    self.log, self.ledger, WAIT_MS if self.caught_up else 0
+                )
+            except LimpetlandingError as error:
+                logger.bind(step=error.step, peer=error.peer).error(
+                    'log not readable: {}', error.detail
+                )
+                await asyncio.sleep(REFUSED_WAIT_S)
+                continue
+            for decision in decisions:
+                self._take(decision)
+            if page.at_end:
+                self.caught_up = True
+                self.store.informed = True
+                self.store.confirm(asyncio.get_running_loop().time())
+
+    async def restate(self) -> None:
+        """Append old contracts again before retention ends, for ever."""
+        while True:
+            await asyncio.sleep(RESTATE_CHECK_S)
+            if self.caught_up:
+                await self.restate_due()
+
+    async def restate_due(self) -> None:
+        """Append the restatements whose time has come."""
+        for customer in sorted({*self.store.stored, *self.ledger.customers}):
+            item = self._to_restate(customer)
+            if item is None:
+                self.due.pop(customer, None)
+            elif self._is_time(customer, item.entry.record.version):
+                await self._append(item)
+
+    def _to_restate(self, customer: str) -> _Restatement | None:
+        state = self.ledger.customers.get(customer, CustomerState())
+        stored = self.store.stored.get(customer)
+        if stored and stored.version > state.version:
+            # The log lost it, or does not show it yet. It was in force at
+            # its own offset, and nothing is claimed about later ones.
+            entry = Entry(stored.offset, stored.record)
+            return _Restatement(entry, stored.offset)
+        if state.current is None or self._is_fresh(customer, state.version):
+            return None
+        as_of = self.ledger.next - 1 if state.exact else state.current.offset
+        return _Restatement(state.current, as_of)
+
+    def _is_fresh(self, customer: str, version: int) -> bool:
+        written = self.written.get(customer)
+        if written is None or written.version != version:
+            return False
+        return self.wall() - written.at < self.retention_s / 2
+
+    def _is_time(self, customer: str, version: int) -> bool:
+        now = self.wall()
+        due = self.due.get(customer)
+        if due is None or due.version != version:
+            at = now + self.rng.uniform(0, RESTATE_SPREAD_S)
+            self.due[customer] = _Moment(version, at)
+            return False
+        return now >= due.at
+
+    async def _append(self, item: _Restatement) -> None:
+        old = item.entry.record
+        record_id = restatement_id(old.customer, old.version, old.contract)
+        record = old.model_copy(
+            update={
+                'record_id': record_id,
+                'base_version': old.version,
+                'kind': RecordKind.RESTATEMENT,
+                'author': self.node,
+                'origin': item.entry.offset,
+                'as_of': item.as_of,
+                'written_s': self.wall(),
+            }
+        )
+        try:
+            await self.log.append(record_id, record.body())
+        except LimpetlandingError as error:
+            # Tried again at the next check: a second copy does no harm.
+            logger.bind(step=error.step, peer=error.peer).warning(
+                'restatement of {} not appended: {}',
+                old.customer,
+                error.detail,
+            )
+        else:
+            self.due.pop(old.customer, None)
+
+    async def _read_while(self, is_reading: Callable[[], bool]) -> None:
+        tasks = [
+            asyncio.create_task(self.read()),
+            asyncio.create_task(self.restate()),
+        ]
+        try:
+            while is_reading():
+                done, _ = await asyncio.wait(tasks, timeout=1)
+                for task in done:
+                    task.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            self.caught_up = False
+
+    def _take(self, decision: Decision) -> None:
+        record = decision.entry.record
+        logger.bind(step='configuration', peer=record.author).debug(
+            'offset {}: {} version {} {}: {}',
+            decision.entry.offset,
+            record.customer,
+            record.version,
+            decision.verdict,
+            decision.detail,
+        )
+        state = self.ledger.customers.get(record.customer)
+        if state is None or state.current is None:
+            return
+        if decision.verdict not in {Verdict.ACCEPTED, Verdict.RESTATED}:
+            return
+        self.store.put(state.current.offset, state.current.record)
+        if record.version == state.version:
+            at = self._written_at(record)
+            self.written[record.customer] = _Moment(record.version, at)
+
+    def _written_at(self, record: Record) -> float:
+        now = self.wall()
+        if 0 < record.written_s <= now + MAX_CLOCK_SKEW_S:
+            return record.written_s
+        return now
--- /dev/null
+++ b/src/limpetlanding/config/replication.py
@@ -0,0 +1,197 @@
+"""Exchange of configuration between the replicas of processes."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any
+from weakref import WeakKeyDictionary
+
+from loguru import logger
+
+from limpetlanding.config.store import ConfigStore, UnacceptableRecord
+from limpetlanding.errors import LimpetlandingError
+from limpetlanding.wire import (
+    Channel,
+    ConfigRecords,
+    ConfigWanted,
+    Node,
+)
+
+# Replicas that see a change together spread their requests over this time.
+SPREAD_S = 0.2
+# A burst of changes is fetched together, at most once in this time.
+MIN_INTERVAL_S = 1.0
+REQUEST_TIMEOUT_S = 2.0
+# A process asks how old the knowledge of an entry is at most this often.
+PROBE_INTERVAL_S = 5.0
+# Entries read the log, so they are asked first. If no entry could read it
+# for this long, any peer may know more.
+STALE_S = 30.0
+
+_ENTRY = 'entry'
+
+
+class Replication:
+    """Pulls what the store lacks from peers whose digest differs.
+
+    Parameters
+    ----------
+    store : ConfigStore
+        The replica of this process.
+    clock : callable, optional
+        Monotonic time in seconds; the clock of the loop by default.
+    rng : Random, optional
+        Source of the spread of requests.
+    """
+
+    def __init__(
+        self,
+        store: ConfigStore,
+        clock: Callable[[], float] | None = None,
+        rng: Random | None = None,
+    ) -> None:
+        self.store = store
+        self.clock = clock or asyncio.get_running_loop().time
+        self.rng = rng or Random()
+        self.task: asyncio.Task[None] | None = None
+        self.last_pull = -MIN_INTERVAL_S
+        self.last_probe = -PROBE_INTERVAL_S
+        # For each peer the digests (peer's, own) at which it had nothing
+        # newer: asking again would be a wasted message.
+        self.settled: WeakKeyDictionary[Channel, tuple[int, int]] = (
+            WeakKeyDictionary()
+        )
+
+    def attach(self, node: Node) -> None:
+        """Send the digest on the heartbeats of `node`, and use them."""
+        node.config_digest = lambda: self.store.digest
+        node.on_heartbeat = self.on_heartbeat
+
+    def on_heartbeat(self, channel: Channel, digest: int) -> None:
+        """Compare a peer's digest with the own one; pull if they differ."""
+        if self.task is not None and not self.task.done():
+            return
+        if digest != self.store.digest:
+            if self._is_worth_asking(channel, digest):
+                self._start(self._pull(channel, digest))
+        elif channel.peer.role == _ENTRY and self._is_probe_due():
+            self._start(self._probe(channel))
+
+    def answer(self, wanted: ConfigWanted) -> ConfigRecords:
+        """Return the reply to a peer's request."""
+        if wanted.versions or not wanted.digest:
+            return ConfigRecords(self.store.lacking(wanted.versions))
+        age_s = self.store.age_s(self.clock())
+        if wanted.digest != self.store.digest or age_s is None:
+            return ConfigRecords([])
+        return ConfigRecords([], age_s)
+
+    async def stop(self) -> None:
+        """Stop a request in progress."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+
+    def status(self) -> dict[str, object]:
+        """Return the part of ``/statusz`` on the configuration."""
+        return config_status(self.store, self.clock())
+
+    def _start(self, request: Coroutine[Any, Any, None]) -> None:
+        self.task = asyncio.create_task(request)
+
+    def _is_worth_asking(self, channel: Channel, digest: int) -> bool:
+        if self.settled.get(channel) == (digest, self.store.digest):
+            return False
+        if channel.peer.role == _ENTRY:
+            return True
+        age_s = self.store.age_s(self.clock())
+        return age_s is None or age_s > STALE_S
+
+    def _is_probe_due(self) -> bool:
+        now = self.clock()
+        if not self.store.digest or now < self.last_probe + PROBE_INTERVAL_S:
+            return False
+        age_s = self.store.age_s(now)
+        return age_s is None or age_s > PROBE_INTERVAL_S
+
+    async def _probe(self, channel: Channel) -> None:
+        asked_at = self.clock()
+        self.last_probe = asked_at
+        digest = self.store.digest
+        reply = await _request(channel, ConfigWanted({}, digest))
+        if reply and reply.age_s >= 0 and digest == self.store.digest:
+            self.store.confirm(asked_at - reply.age_s)
+
+    async def _pull(self, channel: Channel, digest: int) -> None:
+        wait_s = self.last_pull + MIN_INTERVAL_S - self.clock()
+        await asyncio.sleep(max(0, wait_s) + self.rng.uniform(0, SPREAD_S))
+        self.last_pull = self.clock()
+        more = True
+        while more and self.store.digest != digest:
+            more = await self._pull_once(channel)
+        if more is not None:
+            self.settled[channel] = (digest, self.store.digest)
+            if self.store.stored:
+                self.store.informed = True
+
+    async def _pull_once(self, channel: Channel) -> bool | None:
+        # True if something was taken over, None if there was no answer.
+        wanted = ConfigWanted(self.store.vector())
+        reply = await _request(channel, wanted)
+        if reply is None:
+            return None
+        adopted = sum(self._adopt(item, channel) for item in reply.records)
+        return adopted > 0
+
+    def _adopt(self, encoded: bytes, channel: Channel) -> bool:
+        try:
+            return self.store.adopt(encoded)
+        except UnacceptableRecord as error:
+            logger.bind(step=error.step, peer=channel.peer.node).error(
+                'record refused: {}', error.detail
+            )
+            return False
+
+
+async def _request(
+    channel: Channel, wanted: ConfigWanted
+) -> ConfigRecords | None:
+    try:
+        return await channel.request(wanted, REQUEST_TIMEOUT_S)
+    except LimpetlandingError as error:
+        logger.bind(step=error.step, peer=channel.peer.node).info(
+            'configuration not fetched: {}', error.detail
+        )
+        return None
+
+
+def config_status(store: ConfigStore, now: float) -> dict[str, object]:
+    """Return what ``/statusz`` tells about the configuration.
+
+    Parameters
+    ----------
+    now : float
+        Time in seconds on the clock of ``store.confirm``.
+    """
+    return {
+        'informed': store.informed,
+        'config_age_s': store.age_s(now),
+        'config_digest': f'{store.digest:014x}',
+        'versions': {
+            name: item.version for name, item in sorted(store.stored.items())
+        },
+        'unreadable': {
+            name: {'version': item.version, 'rules': item.rules}
+            for name, item in sorted(store.unreadable.items())
+        },
+        'shared_keys': sorted(
+            {
+                name
+                for owners in store.owners.values()
+                for name in owners
+                if len(owners) > 1
+            }
+        ),
+        'forks': store.forks,
+        'records_refused': store.rejected,
+    }
--- /dev/null
+++ b/src/limpetlanding/config/tests/fleet.py
@@ -0,0 +1,166 @@
+"""Entries and agents that share configuration over in-memory streams."""
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+
+from limpetlanding.config import (
+    ConfigReader,
+    ConfigStore,
+    Replication,
+    is_reader,
+)
+from limpetlanding.logservice import LogClient
+from limpetlanding.wire import (
+    ConfigWanted,
+    EntryInfo,
+    Hello,
+    Node,
+    NodeOptions,
+)
+from limpetlanding.wire.tests.faulty import FaultyNetwork
+
+LOG_URL = 'http://127.0.0.1:7400'
+
+
+def wall():
+    """Return the time of the loop as if it were the wall clock."""
+    return 1_700_000_000 + asyncio.get_running_loop().time()
+
+
+@dataclass
+class Member:
+    """One entry or agent, as far as configuration is concerned."""
+
+    node: Node
+    store: ConfigStore
+    replication: Replication
+    reader: ConfigReader | None = None
+    reading: asyncio.Task | None = None
+
+    @property
+    def info(self):
+        hello = self.node.hello
+        return EntryInfo(hello.node, '', hello.address, '', hello.region)
+
+    def is_reader(self):
+        live = [
+            EntryInfo(c.peer.node, '', c.peer.address, '', c.peer.region)
+            for c in self.node.channels
+            if c.links and c.peer.role == 'entry'
+        ]
+        return is_reader(self.info, live)
+
+    def version(self, customer='apples'):
+        stored = self.store.stored.get(customer)
+        return stored.version if stored else 0
+
+    async def stop(self):
+        if self.reading is not None:
+            self.reading.cancel()
+            await asyncio.gather(self.reading, return_exceptions=True)
+            await self.reader.log.close()
+        await self.replication.stop()
+        await self.node.stop(drain=False)
+
+
+@dataclass
+class Fleet:
+    """Members on one faulty network."""
+
+    retention_s: float = 604_800
+    network: FaultyNetwork = field(default_factory=FaultyNetwork)
+    members: dict[str, Member] = field(default_factory=dict)
+    # Names of the members on the far side of a partition.
+    far: set[str] = field(default_factory=set)
+    seeds: Random = field(default_factory=lambda: Random(1))
+
+    def rng(self):
+        return Random(self.seeds.random())
+
+    async def entry(self, name, region='punjab', reads=True, vectors=True):
+        """Start an entry; without `reads` the log is out of its reach."""
+        member = await self._start('entry', name, region, vectors)
+        log = LogClient(LOG_URL, 'contracts', 500, self.rng())
+        member.reader = ConfigReader(
+            member.store, log, name, self.retention_s, wall, self.rng()
+        )
+        member.reading = asyncio.create_task(
+            member.reader.run(lambda: reads and member.is_reader())
+        )
+        return member
+
+    async def agent(self, name, region='punjab', vectors=True):
+        return await self._start('agent', name, region, vectors)
+
+    async def stop(self, *names):
+        for name in names or list(self.members):
+            await self.members.pop(name).stop()
+
+    def connections(self, name):
+        """Return connections to or from the member `name`."""
+        address = self.members[name].node.hello.address
+        return self.network.to(address)
+
+    def versions(self, customer='apples'):
+        return {n: m.version(customer) for n, m in self.members.items()}
+
+    def _is_cut(self, name, address):
+        named = {m.node.hello.address: n for n, m in self.members.items()}
+        return (name in self.far) != (named.get(address) in self.far)
+
+    def partition(self, *far):
+        """Cut the members `far` off from all others."""
+        self.far = set(far)
+        for connection in self.network.connections:
+            connection.silence()
+
+    async def _start(self, role, name, region, vectors):
+        address = f'10.0.0.1:{_port(name)}'
+        store = ConfigStore()
+        if not vectors:
+            # The alternative that is measured: always ask for everything.
+            store.vector = dict
+        replication = Replication(store, rng=self.rng())
+
+        async def handle(channel, message):
+            if isinstance(message, ConfigWanted):
+                return replication.answer(message)
+            return None
+
+        async def connect(host, port, **options):
+            if self._is_cut(name, f'{host}:{port}'):
+                await asyncio.Event().wait()
+            return await self.network.connect(host, port, **options)
+
+        node = Node(
+            Hello(
+                1,
+                role,
+                name,
+                f'i{self.seeds.random()}',
+                'd',
+                address,
+                '',
+                region,
+            ),
+            handle,
+            NodeOptions(rng=self.rng()),
+            connect=connect,
+            serve=self.network.serve,
+        )
+        replication.attach(node)
+        await node.start()
+        for other in self.members.values():
+            if 'entry' in {other.node.hello.role, role}:
+                dialer, target = (node, other.node)
+                if role == 'entry' and other.node.hello.role == 'agent':
+                    dialer, target = (other.node, node)
+                dialer.keep_dialing(target.hello.address)
+        self.members[name] = Member(node, store, replication)
+        return self.members[name]
+
+
+def _port(name):
+    number = int(name.lstrip('abcdefghijklmnopqrstuvwxyz'))
+    return number + (1_000 if name.startswith('e') else 2_000)
--- a/src/limpetlanding/logservice/client.py
+++ b/src/limpetlanding/logservice/client.py
@@ -71,11 +71,14 @@
         Offset at which the next page starts.
     first : int
         Offset of the oldest record that the log still has.
+    at_end : bool
+        Whether the log had no further record.
     """
 
     records: tuple[LogRecord, ...]
     next: int
     first: int
+    at_end: bool = False
 
 
 class LogClient:
@@ -173,7 +176,12 @@
                 LogRecord(int(item['offset']), item['body'])
                 for item in data['records']
             )
-            page = Page(records, int(data['next']), int(data['first']))
+            page = Page(
+                records,
+                int(data['next']),
+                int(data['first']),
+                at_end=len(records) < limit,
+            )
         except (KeyError, TypeError, ValueError) as error:
             raise self._unavailable('read log', 'malformed page') from error
         if not _is_ordered(page, start):
--- a/src/limpetlanding/wire/messages.py
+++ b/src/limpetlanding/wire/messages.py
@@ -313,17 +313,27 @@
 @message('want')
 @dataclass(slots=True)
 class ConfigWanted:
-    """The sender's version for each customer."""
+    """The sender's version for each customer.
+
+    Without versions it asks only how old the receiver's knowledge is, which
+    the receiver tells if `digest` is its own.
+    """
 
     versions: dict[str, int]
+    digest: int = 0
 
 
 @message('records')
 @dataclass(slots=True)
 class ConfigRecords:
-    """Log records (JSON) that the requester lacks."""
+    """Log records (JSON) that the requester lacks.
+
+    `age_s` is for how long the sender cannot tell whether newer versions
+    exist; negative if it does not say.
+    """
 
     records: list[bytes]
+    age_s: float = -1
 
 
 @message('share')
