Keep recovery dialing apart from requested dialing; limit failure logs

Cause: an entry stops every dialer outside its member list, which included the dialers that prove a lost agent gone; and Node.at_address, which the agent uses, had been removed. A failing notification took 2.1 ms of processor time, nearly all of it for the traceback. Change: Node.dialers holds only requested dialers, Node.at_address is back, and a handler failure is logged at most once per second, step and peer.

--- a/src/limpetlanding/wire/channel.py
+++ b/src/limpetlanding/wire/channel.py
@@ -19,6 +19,10 @@
 from limpetlanding.wire.link import Link
 from limpetlanding.wire.messages import Ack, ErrorReply, Heartbeat, Hello
 
+# A traceback takes 2 ms to format; a wave of failures must not take the
+# processor from the work that succeeds.
+_LOG_INTERVAL_S = 1
+
 Handler = Callable[['Channel', Any], Awaitable[Any]]
 
 
@@ -81,6 +85,7 @@
         self.serving: dict[int, asyncio.Task[None]] = {}
         self.notified: set[asyncio.Task[None]] = set()
         self.numbers = numbers
+        self.logged_at: dict[str, float] = {}
 
     def __repr__(self) -> str:
         return f'<Channel {self.peer.node} {self.peer.incarnation}>'
@@ -285,6 +290,10 @@
 
     def _log_failure(self, step: str, error: Exception) -> None:
         self.counters.events['handler_failures'] += 1
+        now = self.loop.time()
+        if now - self.logged_at.get(step, -_LOG_INTERVAL_S) < _LOG_INTERVAL_S:
+            return
+        self.logged_at[step] = now
         logger.bind(step=step, peer=self.peer.node).opt(exception=error).error(
             'handler failed'
         )
--- a/src/limpetlanding/wire/codec.py
+++ b/src/limpetlanding/wire/codec.py
@@ -113,7 +113,7 @@
     """
     tag = tag_of(message)
     try:
-        body = _PACKER.pack((int(kind), number, tag, message))
+        body = _PACKER.pack((kind, number, tag, message))
     except (TypeError, ValueError, OverflowError) as error:
         raise ProtocolError(
             f'{tag}: cannot encode: {error}', step='encode'
@@ -214,6 +214,8 @@
 
 @cache
 def _field_getter(message_type: type) -> Callable[[Any], tuple[Any, ...]]:
+    if not is_dataclass(message_type):
+        raise TypeError(f'{message_type.__name__} has no wire form')
     names = [spec.name for spec in fields(message_type)]
     getter = attrgetter(*names) if names else _no_fields
     if len(names) == 1:
@@ -226,8 +228,6 @@
 
 
 def _pack_dataclass(obj: Any) -> tuple[Any, ...]:
-    if not is_dataclass(obj):
-        raise TypeError(f'{type(obj).__name__} has no wire form')
     return _field_getter(type(obj))(obj)
 
 
--- a/src/limpetlanding/wire/node.py
+++ b/src/limpetlanding/wire/node.py
@@ -68,7 +68,8 @@
             ),
             self.options.timing,
         )
-        self.dialers: dict[str, Dialer] = {}
+        # Includes those that recover links which the peer had dialed.
+        self.all_dialers: dict[str, Dialer] = {}
         self.dialer_tasks: dict[str, asyncio.Task[None]] = {}
         self.link_tasks: set[asyncio.Task[Any]] = set()
         self.server: asyncio.Server | None = None
@@ -79,6 +80,23 @@
         """Channels of all peers that are not known to be gone."""
         return list(self.peers.channels.values())
 
+    @property
+    def at_address(self) -> dict[str, Channel]:
+        """Latest incarnation seen at each address."""
+        return {
+            address: channels[-1]
+            for address, channels in self.peers.at_address.items()
+        }
+
+    @property
+    def dialers(self) -> dict[str, Dialer]:
+        """Dialers that were asked for, by address."""
+        return {
+            address: dialer
+            for address, dialer in self.all_dialers.items()
+            if dialer.mode is not DialMode.RECOVER
+        }
+
     def channel(self, node: str, incarnation: str) -> Channel | None:
         """Return the channel of a peer incarnation, if there is one."""
         return self.peers.channels.get((node, incarnation))
@@ -132,9 +150,16 @@
 
     def stop_dialing(self, address: str) -> None:
         """Stop what `dial` or `keep_dialing` started; links stay open."""
-        task = self.dialer_tasks.get(address)
-        if task is not None:
-            task.cancel()
+        dialer = self.all_dialers.get(address)
+        if dialer is None or dialer.mode is DialMode.RECOVER:
+            return
+        dialer.target = self.peers.newest_at(address)
+        if dialer.target is None or dialer.target.links:
+            self.dialer_tasks[address].cancel()
+        else:
+            # Requests may still wait for the peer, or for proof that it is
+            # gone.
+            dialer.mode = DialMode.RECOVER
 
     async def dial(
         self, address: str, incarnation: str = '', timeout_s: float = 5
@@ -195,7 +220,7 @@
     def _start_dialer(
         self, address: str, mode: DialMode, target: Channel | None = None
     ) -> Dialer:
-        dialer = self.dialers.get(address)
+        dialer = self.all_dialers.get(address)
         if dialer is None:
             dialer = Dialer(
                 address,
@@ -206,7 +231,7 @@
                 self.counters,
                 target,
             )
-            self.dialers[address] = dialer
+            self.all_dialers[address] = dialer
             task = asyncio.create_task(dialer.run())
             self.dialer_tasks[address] = task
             task.add_done_callback(lambda _: self._dialer_done(address))
@@ -216,13 +241,13 @@
 
     def _dialer_done(self, address: str) -> None:
         self.dialer_tasks.pop(address, None)
-        self.dialers.pop(address).end()
+        self.all_dialers.pop(address).end()
 
     def _recover(self, channel: Channel) -> None:
         # The peer usually dials again. This node dials as well, because only
         # its own attempts can show that the peer is gone.
         address = channel.peer.address
-        if address and address not in self.dialers and not self.stopping:
+        if address and address not in self.all_dialers and not self.stopping:
             self._start_dialer(address, DialMode.RECOVER, channel)
 
     async def _drain(self) -> None:
--- a/src/limpetlanding/wire/tests/test_node.py
+++ b/src/limpetlanding/wire/tests/test_node.py
@@ -436,7 +436,7 @@
             with pytest.raises(RequestTimeout):
                 await first.dial(B, timeout_s=2)
             await asyncio.sleep(10)
-            assert not first.dialers
+            assert not first.all_dialers
 
     async def test_forgotten_after_a_long_time(self):
         # Guards against memory that grows with every peer ever seen.
@@ -447,7 +447,7 @@
             cluster.network.connections[0].reset()
             await asyncio.sleep(700)
             assert not first.channels
-            assert not first.dialers
+            assert not first.all_dialers
             assert not first.peers.at_address
 
 
@@ -498,6 +498,31 @@
             await asyncio.sleep(2)
             assert second.changes == [('up', '1')]
 
+    async def test_stopped_dialing_still_proves_that_the_peer_is_gone(self):
+        # Guards against requests that wait for a dead peer only because
+        # nobody dials it any more.
+        async with run_cluster() as cluster:
+            first, second, channel = await cluster.pair()
+            second.handler.delay_s = 100
+            asked = asyncio.create_task(channel.request(question(), 60))
+            await asyncio.sleep(1)
+            first.stop_dialing(B)
+            await cluster.crash(second)
+            await asyncio.sleep(1.5)
+            assert not first.dialers
+            first.stop_dialing(B)
+            with pytest.raises(PeerLost, match='refuses'):
+                await asked
+
+    async def test_stopped_dialing_keeps_the_link(self):
+        async with run_cluster() as cluster:
+            first, _, channel = await cluster.pair()
+            assert first.at_address == {B: channel}
+            first.stop_dialing(B)
+            await asyncio.sleep(1)
+            assert await channel.request(question(), 1)
+            assert not first.dialers
+
     async def test_failing_callback_does_not_cost_the_link(self):
         async with run_cluster() as cluster:
             first, second = await cluster.node(A), await cluster.node(B)
