--- /dev/null
+++ b/src/limpetlanding/cli/tests/test_client.py
@@ -0,0 +1,217 @@
+import asyncio
+from contextlib import asynccontextmanager
+from random import Random
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from limpetlanding.cli.caller import exit_code, render
+from limpetlanding.cli.client import Answer, Client, ClientOptions, NoAnswer
+
+JOB = {'tasks': [{'kind': 'cut', 'payload': 1}]}
+
+
+def complete(body):
+    results = [
+        {'index': 0, 'payload': 1, 'run_ms': 5, 'endpoint': 'e', 'agent': 'a'}
+    ]
+    return 200, {
+        'id': body['id'],
+        'outcome': 'complete',
+        'task_count': 1,
+        'results': results,
+    }
+
+
+def lost(_body):
+    return None
+
+
+def refused(_body):
+    return 503, {
+        'outcome': 'not_run',
+        'reason': 'overload',
+        'retry_after_ms': 200,
+        'next_id': 'next',
+    }
+
+
+def never(_body):
+    return 422, {'outcome': 'not_run', 'reason': 'no_endpoint'}
+
+
+def doubtful(_body):
+    return 504, {'outcome': 'may_have_run', 'reason': 'coordinator_lost'}
+
+
+def timed_out(_body):
+    return 504, {'outcome': 'may_have_run', 'reason': 'entry_timeout'}
+
+
+def of_a_balancer(_body):
+    return 502, None
+
+
+def foreign(body):
+    status, answer = complete(body)
+    return status, answer | {'id': 'foreign'}
+
+
+def short(body):
+    status, answer = complete(body)
+    return status, answer | {'results': []}
+
+
+class FakeEntry:
+    """Answers submissions by a script and notes their ids."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.ids = []
+        self.minted = 0
+
+    async def post_ids(self, _request):
+        self.minted += 1
+        return web.json_response({'ids': [f'id-{self.minted}']})
+
+    async def post_job(self, request):
+        body = await request.json()
+        self.ids.append(body['id'])
+        step = self.script.pop(0) if self.script else complete
+        answer = step(body)
+        if answer is None:
+            request.transport.abort()
+            await asyncio.sleep(1)
+            return web.Response()
+        status, content = answer
+        if content is None:
+            return web.Response(status=status, text='<html>')
+        return web.json_response(content, status=status)
+
+
+@asynccontextmanager
+async def client_of(entry, **options):
+    app = web.Application()
+    app.add_routes(
+        [
+            web.post('/v1/ids', entry.post_ids),
+            web.post('/v1/jobs', entry.post_job),
+        ]
+    )
+    runner = web.AppRunner(app)
+    await runner.setup()
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(runner.server, '127.0.0.1', 8100)
+    async with aiohttp.ClientSession() as session:
+        values = {'entries': ['http://127.0.0.1:8100'], 'key': 'k'} | options
+        yield Client(session, ClientOptions(**values), Random(5))
+    server.close()
+    await runner.cleanup()
+
+
+class TestRetry:
+    @pytest.mark.parametrize('step', [lost, of_a_balancer, foreign, short])
+    async def test_unknown_fate_is_retried_under_the_same_id(self, step):
+        # Guards against a duplicate booking after a lost connection.
+        entry = FakeEntry(step, step)
+        async with client_of(entry, retries=5) as client:
+            answer = await client.submit(JOB)
+        assert answer.outcome == 'complete'
+        assert entry.ids == ['id-1'] * 3
+
+    async def test_timeout_of_the_entry_is_retried_under_the_same_id(self):
+        entry = FakeEntry(timed_out)
+        async with client_of(entry, retries=5) as client:
+            answer = await client.submit(JOB | {'repeatable': True})
+        assert answer.outcome == 'complete'
+        assert entry.ids == ['id-1'] * 2
+
+    async def test_refused_job_is_retried_under_the_fresh_id(self):
+        # Guards against retries that the recorded refusal answers for ever.
+        entry = FakeEntry(refused)
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        async with client_of(entry, retries=5) as client:
+            answer = await client.submit(JOB)
+        assert answer.outcome == 'complete'
+        assert entry.ids == ['id-1', 'next']
+        assert loop.time() - started_at >= 0.2
+
+    async def test_job_that_can_never_run_is_not_retried(self):
+        entry = FakeEntry(never)
+        async with client_of(entry, retries=5) as client:
+            answer = await client.submit(JOB)
+        assert answer.reason == 'no_endpoint'
+        assert len(entry.ids) == 1
+
+    async def test_job_that_may_have_run_is_not_sent_again(self):
+        # Guards against two crews sent to one channel.
+        entry = FakeEntry(doubtful)
+        async with client_of(entry, retries=5) as client:
+            answer = await client.submit(JOB)
+        assert answer.outcome == 'may_have_run'
+        assert entry.ids == ['id-1']
+
+    async def test_repeatable_job_that_may_have_run_gets_a_fresh_id(self):
+        entry = FakeEntry(doubtful)
+        async with client_of(entry, retries=5) as client:
+            answer = await client.submit(JOB | {'repeatable': True})
+        assert answer.outcome == 'complete'
+        assert entry.ids == ['id-1', 'id-2']
+
+    async def test_retries_are_bounded(self):
+        # Guards against a wave of retries that keeps an overload going.
+        entry = FakeEntry(*[refused] * 100)
+        async with client_of(entry, retries=3) as client:
+            answer = await client.submit(JOB)
+        assert answer.outcome == 'not_run'
+        assert len(entry.ids) == 4
+
+    async def test_without_retries_a_lost_answer_is_unknown(self):
+        entry = FakeEntry(lost)
+        async with client_of(entry) as client:
+            answer = await client.submit(JOB)
+        assert exit_code(answer) == 4
+        assert len(entry.ids) == 1
+
+    async def test_next_entry_is_tried_after_a_refused_connection(self):
+        entry = FakeEntry()
+        entries = ['http://127.0.0.1:1', 'http://127.0.0.1:8100']
+        async with client_of(entry, retries=2, entries=entries) as client:
+            answer = await client.submit(JOB)
+        assert answer.outcome == 'complete'
+
+    async def test_no_entry_at_all_is_told(self):
+        async with aiohttp.ClientSession() as session:
+            options = ClientOptions(['http://127.0.0.1:1'], 'k')
+            with pytest.raises(NoAnswer):
+                await Client(session, options, Random(5)).submit(JOB)
+
+
+class TestExitCode:
+    @pytest.mark.parametrize(
+        ('answer', 'code'),
+        [
+            (Answer(200, {'outcome': 'complete'}), 0),
+            (Answer(202, {'outcome': None}), 0),
+            (Answer(502, {'outcome': 'failed'}), 1),
+            (Answer(503, {'outcome': 'not_run'}), 1),
+            (Answer(409, {'outcome': None}), 1),
+            (Answer(504, {'outcome': 'may_have_run'}), 4),
+            (Answer(502), 4),
+            (Answer(), 4),
+        ],
+    )
+    def test_code_tells_the_fate_of_the_job(self, answer, code):
+        # Guards against scripts that take an unknown fate for a failure.
+        assert exit_code(answer) == code
+
+    def test_cancelled_job_is_a_success_of_cancel(self):
+        answer = Answer(200, {'outcome': 'not_run', 'reason': 'cancelled'})
+        assert exit_code(answer, ends=True) == 0
+        assert exit_code(answer) == 1
+
+    def test_text_names_outcome_and_reason(self):
+        answer = Answer(503, {'id': 'a', 'outcome': 'not_run', 'reason': 'x'})
+        assert render(answer) == 'job a: not_run\n  reason: x'
--- a/src/limpetlanding/entry/role.py
+++ b/src/limpetlanding/entry/role.py
@@ -338,7 +338,9 @@
 
 def _node_options(settings: Settings) -> NodeOptions:
     delay = settings.emulated_delay_ms
-    options = NodeOptions(listen_host=settings.listen.host)
+    options = NodeOptions(
+        listen=f'{settings.listen.host}:{settings.listen.port}'
+    )
     if delay.own or delay.cross:
         options.emulated_delay_ms = lambda here, there: (
             delay.own if here == there else delay.cross
