--- a/src/limpetlanding/cli/standins.py
+++ b/src/limpetlanding/cli/standins.py
@@ -1,13 +1,6 @@
 """Verbs that run the stand-ins of the platform."""
 
-from typing import Any
+from limpetlanding.standin.endpoint import run_standin_endpoint
+from limpetlanding.standin.log import run_standin_log
 
-
-def endpoint(*arguments: Any, **options: Any) -> Any:
-    """Run the endpoint stand-in; see `limpetlanding.standin.endpoint`."""
-    from limpetlanding.standin.endpoint import main
-
-    return main(*arguments, **options)
-
-
-VERBS = {'endpoint': endpoint}
+VERBS = {'endpoint': run_standin_endpoint, 'log': run_standin_log}
