Await started tasks beyond the deadline of their job

Cause: at the deadline every started task was given up as unknown, so each straggler made its job may_have_run although its result was on the way. Change: the deadline bounds when tasks may start; a started one is awaited up to max_job_s while its executor is heard of. Endpoints that cannot repeat by id keep the deadline. The waiting caller gets 202 at the deadline. Ruled out: an unlimited wait on silence; two silent checks in a row end it. Tests: a silent executor is still unknown at the deadline (now with the peer silent for good instead of one lost message, which a repeat repairs); a task that runs past the deadline completes.

--- a/src/limpetlanding/agent/calls.py
+++ b/src/limpetlanding/agent/calls.py
@@ -35,11 +35,16 @@
 
 @dataclass(slots=True)
 class Call:
-    """One task to be called; `deadline` is in monotonic seconds."""
+    """One task to be called; times are in monotonic seconds.
+
+    The answer is awaited until `run_until`, but only until `deadline` from
+    an endpoint that cannot tell again what became of a call.
+    """
 
     job_id: str
     spec: TaskSpec
     deadline: float
+    run_until: float
     queue_ms: float = 0
     traceparent: str = ''
 
@@ -48,6 +53,10 @@
         """Id of the task at the endpoint."""
         return f'{self.job_id}/{self.spec.index}'
 
+    def ends_at(self, repeat_by_id: bool) -> float:
+        """Return when the answer is given up."""
+        return max(self.run_until if repeat_by_id else 0, self.deadline)
+
 
 @dataclass(slots=True)
 class _Answer:
@@ -154,10 +163,11 @@
         started = self.clock()
         step_s = silence_s
         while not post.done():
-            left_s = call.deadline - self.clock()
+            repeat_by_id = endpoint.announced.repeat_by_id
+            left_s = call.ends_at(repeat_by_id) - self.clock()
             if left_s <= 0 or endpoint.superseded.done():
                 return
-            if not endpoint.announced.repeat_by_id:
+            if not repeat_by_id:
                 step_s = left_s
             await asyncio.wait(
                 (post, endpoint.superseded),
@@ -229,12 +239,13 @@
         since = failure.alive_since
         if not endpoint.announced.repeat_by_id or since is None:
             return False
-        until = min(call.deadline, self.clock() + self.options.proof_s)
+        ends_at = call.ends_at(repeat_by_id=True)
+        until = min(ends_at, self.clock() + self.options.proof_s)
         while not _proven(endpoint, since):
             if self.clock() >= until or not endpoint.current:
                 return False
             await asyncio.sleep(_PROOF_STEP_S)
-        return self.clock() < call.deadline
+        return self.clock() < ends_at
 
     def _report(
         self, endpoint: Endpoint, call: Call, answer: _Answer, attempts: int
--- a/src/limpetlanding/agent/executor.py
+++ b/src/limpetlanding/agent/executor.py
@@ -64,12 +64,17 @@
 
 @dataclass(slots=True)
 class _Queued:
-    """A queued task with its deadline timer."""
+    """A queued task with its deadline timer.
+
+    `run_until` is when the agent stops to wait for a started task, in
+    monotonic seconds.
+    """
 
     message: RunTasks
     queued: QueuedTask
     queued_at: float
     timer: asyncio.TimerHandle
+    run_until: float
 
 
 @dataclass(slots=True)
@@ -239,7 +244,8 @@
         timer = asyncio.get_running_loop().call_later(
             left_s, self._end_unstarted, key, Reason.DEADLINE
         )
-        self.queued[key] = _Queued(message, task, now, timer)
+        limit_s = max(left_s, message.run_limit_ms / 1000)
+        self.queued[key] = _Queued(message, task, now, timer, now + limit_s)
         self.queue.push(task, now)
         self.pump()
 
@@ -290,6 +296,7 @@
             key[0],
             spec,
             queued.queued.deadline,
+            queued.run_until,
             (self.clock() - queued.queued_at) * 1000,
             queued.message.traceparent,
         )
--- a/src/limpetlanding/agent/jobrun.py
+++ b/src/limpetlanding/agent/jobrun.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import groupby
 from typing import Any, Protocol
 
@@ -93,11 +93,14 @@
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     flags: _Flags = field(default_factory=_Flags)
     deadline: float = field(init=False)
+    run_until: float = field(init=False)
 
     def __post_init__(self) -> None:
         self.fates = {spec.index: Fate(spec) for spec in self.submit.tasks}
+        now = self.ports.clock()
         limit_s = min(self.submit.deadline_ms / 1000, self.options.max_job_s)
-        self.deadline = self.ports.clock() + limit_s
+        self.deadline = now + limit_s
+        self.run_until = now + self.options.max_job_s
 
     @property
     def left_s(self) -> float:
@@ -256,24 +259,25 @@
     async def _run_at(
         self, peer: Peer, group: _Group, specs: list[TaskSpec]
     ) -> list[TaskReport]:
-        left_s = self.left_s
+        # A task that has started is awaited beyond the deadline: a late
+        # result tells the caller what happened, giving up does not.
+        run_limit_s = max(self.run_until - self.ports.clock(), 0)
         message = RunTasks(
             self.submit.job_id,
             group.placement.incarnation,
             self.submit.customer,
             specs,
-            left_s * 1000,
+            self.left_s * 1000,
             self.submit.weight,
             self.submit.request_id,
             self.submit.traceparent,
+            run_limit_s * 1000,
         )
         group.sent = True
         reports: list[TaskReport] = []
         reason = Reason.AGENT_LOST
         try:
-            reply = await peer.request(
-                message, left_s + self.options.answer_grace_s
-            )
+            reply = await self._reports_of(peer, message)
         except RequestTimeout:
             reason = Reason.DEADLINE
         except LimpetlandingError:
@@ -282,6 +286,32 @@
             reports = reply.reports
         return reports + missing_reports(group.indices, reports, reason)
 
+    async def _reports_of(self, peer: Peer, message: RunTasks) -> Any:
+        """Return the executor's reply, however late the tasks end.
+
+        Raises
+        ------
+        RequestTimeout
+            If the deadline has passed and the executor is silent, or if the
+            job has reached its longest time.
+        """
+        wait_s = self.left_s + self.options.answer_grace_s
+        was_silent = False
+        while True:
+            try:
+                return await peer.request(message, wait_s)
+            except RequestTimeout:
+                # One silent moment may be a link that is being replaced.
+                silent = bool(getattr(peer, 'suspect', False))
+                late = self.ports.clock() >= self.run_until
+                if late or (silent and was_silent):
+                    raise
+            was_silent = silent
+            wait_s = self.options.late_check_s
+            # The executor joins a repeat to the running tasks, and starts
+            # none that it does not know, since no time is left.
+            message = replace(message, deadline_ms=0)
+
     async def _place_idle(self) -> None:
         fates = self._with_state(IDLE)
         message = PlaceAgain(
--- a/src/limpetlanding/agent/options.py
+++ b/src/limpetlanding/agent/options.py
@@ -17,6 +17,8 @@
     # Covers the way of the last report and timer granularity; a job whose
     # executor is silent is answered this long after its deadline.
     answer_grace_s: float = 0.5
+    # How often a coordinator asks after tasks that run beyond the deadline.
+    late_check_s: float = 2
     revoke_timeout_s: float = 1
     place_timeout_s: float = 1
 
--- a/src/limpetlanding/agent/tests/fakes.py
+++ b/src/limpetlanding/agent/tests/fakes.py
@@ -151,6 +151,10 @@
     def peer(self):
         return hello(self.target, self.incarnation)
 
+    @property
+    def suspect(self):
+        return self.target in self.net.suspects
+
     def notify(self, message):
         self.net.loop.create_task(self._deliver(message))
 
@@ -210,6 +214,7 @@
 
     agents: dict = field(default_factory=dict)
     faults: list = field(default_factory=list)
+    suspects: set = field(default_factory=set)
     sent: list = field(default_factory=list)
     places: list = field(default_factory=list)
     starts: Counter = field(default_factory=Counter)
--- a/src/limpetlanding/agent/tests/test_random_faults.py
+++ b/src/limpetlanding/agent/tests/test_random_faults.py
@@ -69,6 +69,9 @@
             await asyncio.sleep(rng.uniform(0, 0.5))
             await self.disturb(home, job_id, message, count)
         answers = [await first, await home.handle(None, message)]
+        while not answers[0].outcome:
+            # A started task may end after the deadline of its job.
+            answers = [await home.handle(None, message) for _ in range(2)]
         assert answers[0] == answers[1]
         return answers[0]
 
--- a/src/limpetlanding/entry/http.py
+++ b/src/limpetlanding/entry/http.py
@@ -159,7 +159,9 @@
         submission.request_id = request[REQUEST_ID]
         submission.traceparent = _traceparent(request)
         answer = await self.jobs.submit(contract, submission)
-        if not submission.wait and _running(answer):
+        if _running(answer):
+            # The caller does not wait, or its deadline has passed while a
+            # started task still runs; the state tells it later.
             return _json(_status_body(answer), 202)
         return await self._answered(request, contract, answer)
 
--- a/src/limpetlanding/entry/submissions.py
+++ b/src/limpetlanding/entry/submissions.py
@@ -33,11 +33,15 @@
     accept_s : float
         Longest wait for the coordinator to accept a job whose caller does
         not wait for the answer.
+    follow_s : float
+        How long a job without a waiting caller is counted at most; the
+        longest time that a coordinator keeps a job running.
     """
 
     answer_margin_s: float = 1
     mint_wait_s: float = 1
     accept_s: float = 1
+    follow_s: float = 600
 
 
 class Submissions:
@@ -230,12 +234,15 @@
         self, job_id: str, ticket: Ticket, wait_s: float
     ) -> None:
         answer = None
+        message = QueryJob(job_id, ticket.customer, wait_s * 1000)
+        ends_at = self.gate.clock() + self.options.follow_s
         try:
-            answer = await self.router.ask(
-                QueryJob(job_id, ticket.customer, wait_s * 1000),
-                wait_s,
-                len(ticket.tasks),
-            )
+            while self.gate.clock() < ends_at:
+                answer = await self.router.ask(
+                    message, wait_s, len(ticket.tasks)
+                )
+                if answer.outcome or answer.reason:
+                    break
         finally:
             self._end(job_id, ticket, answer)
 
--- a/src/limpetlanding/wire/messages.py
+++ b/src/limpetlanding/wire/messages.py
@@ -211,7 +211,11 @@
 @message('run')
 @dataclass(slots=True)
 class RunTasks:
-    """Coordinator to executor: queue and run these tasks."""
+    """Coordinator to executor: queue and run these tasks.
+
+    Tasks not started within ``deadline_ms`` never start; a started one is
+    awaited for ``run_limit_ms``, or until the deadline if that is 0.
+    """
 
     job_id: str
     target_incarnation: str
@@ -221,6 +225,7 @@
     weight: float = 1.0
     request_id: str = ''
     traceparent: str = ''
+    run_limit_ms: float = 0
 
 
 @dataclass(slots=True)
