--- a/src/limpetlanding/bench/caller.py
+++ b/src/limpetlanding/bench/caller.py
@@ -21,6 +21,8 @@
 GRACE_S = 10
 IDS_PER_REQUEST = 200
 UNANSWERED = 'unanswered'
+STILL_RUNNING = 202
+POLL_MS = 10_000
 
 
 @dataclass(slots=True)
@@ -111,13 +113,19 @@
         body['id'] = offer.job_id
         timeout_s = offer.arrival.deadline_ms / 1000 + GRACE_S
         await asyncio.sleep(self.delay_s)
+        headers = self._headers(offer.arrival.customer)
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
         async with self.session.post(
-            f'{url}/v1/jobs',
-            json=body,
-            headers=self._headers(offer.arrival.customer),
-            timeout=aiohttp.ClientTimeout(total=timeout_s),
+            f'{url}/v1/jobs', json=body, headers=headers, timeout=timeout
         ) as response:
             answer = await response.json(content_type=None)
+        while response.status == STILL_RUNNING:
+            async with self.session.get(
+                f'{url}/v1/jobs/{offer.job_id}?wait_ms={POLL_MS}',
+                headers=headers,
+                timeout=timeout,
+            ) as response:
+                answer = await response.json(content_type=None)
         await asyncio.sleep(self.delay_s)
         outcome = answer.get('outcome')
         if not outcome:
