--- a/src/limpetlanding/agent/executor.py
+++ b/src/limpetlanding/agent/executor.py
@@ -8,6 +8,7 @@
 
 from limpetlanding.agent.calls import Call, Caller
 from limpetlanding.agent.endpoints import Endpoint, Endpoints
+from limpetlanding.agent.fates import MAX_ANSWER_BYTES
 from limpetlanding.agent.markers import Markers, TaskKey
 from limpetlanding.agent.options import ExecutorOptions
 from limpetlanding.errors import PeerLost
@@ -24,8 +25,6 @@
 
 Notify = Callable[[TaskReports], None]
 
-_REPLY_BYTES = 3 * 1024 * 1024
-
 
 class Queue(Protocol):
     """Queue of the executor; see ``policy.queueing``."""
@@ -65,12 +64,17 @@
 
 @dataclass(slots=True)
 class _Queued:
-    """A queued task with its deadline timer."""
+    """A queued task with its deadline timer.
+
+    `run_until` is when the agent stops to wait for a started task, in
+    monotonic seconds.
+    """
 
     message: RunTasks
     queued: QueuedTask
     queued_at: float
     timer: asyncio.TimerHandle
+    run_until: float
 
 
 @dataclass(slots=True)
@@ -240,7 +244,8 @@
         timer = asyncio.get_running_loop().call_later(
             left_s, self._end_unstarted, key, Reason.DEADLINE
         )
-        self.queued[key] = _Queued(message, task, now, timer)
+        limit_s = max(left_s, message.run_limit_ms / 1000)
+        self.queued[key] = _Queued(message, task, now, timer, now + limit_s)
         self.queue.push(task, now)
         self.pump()
 
@@ -291,6 +296,7 @@
             key[0],
             spec,
             queued.queued.deadline,
+            queued.run_until,
             (self.clock() - queued.queued_at) * 1000,
             queued.message.traceparent,
         )
@@ -352,7 +358,7 @@
     bounded = []
     for report in reports:
         size += len(report.result.payload) if report.result else 0
-        if report.result and size > _REPLY_BYTES:
+        if report.result and size > MAX_ANSWER_BYTES:
             report = TaskReport(
                 report.index,
                 TaskState.ERROR,
