--- a/src/limpetlanding/cli/main.py
+++ b/src/limpetlanding/cli/main.py
@@ -20,16 +20,24 @@
 
 def entry(settings: str) -> None:
     """Run an entry with the settings file SETTINGS."""
+    from limpetlanding.config import ConfigReplica
     from limpetlanding.entry.role import run_entry
 
-    asyncio.run(run_entry(_settings_for('entry', settings)))
+    async def run(checked: Settings) -> None:
+        await run_entry(checked, ConfigReplica(checked))
+
+    asyncio.run(run(_settings_for('entry', settings)))
 
 
 def agent(settings: str) -> None:
     """Run an agent with the settings file SETTINGS."""
     from limpetlanding.agent.role import run_agent
+    from limpetlanding.config import ConfigReplica
+
+    async def run(checked: Settings) -> None:
+        await run_agent(checked, ConfigReplica(checked))
 
-    asyncio.run(run_agent(_settings_for('agent', settings)))
+    asyncio.run(run(_settings_for('agent', settings)))
 
 
 def check_settings(file: str) -> str:
--- a/src/limpetlanding/config/__init__.py
+++ b/src/limpetlanding/config/__init__.py
@@ -1,6 +1,7 @@
 """Configuration in force: store, log reader and replication."""
 
 from limpetlanding.config.reader import ConfigReader, is_reader
+from limpetlanding.config.replica import ConfigReplica
 from limpetlanding.config.replication import Replication, config_status
 from limpetlanding.config.store import (
     ConfigStore,
@@ -11,6 +12,7 @@
 
 __all__ = (
     'ConfigReader',
+    'ConfigReplica',
     'ConfigStore',
     'Replication',
     'Stored',
--- a/src/limpetlanding/config/replication.py
+++ b/src/limpetlanding/config/replication.py
@@ -79,12 +79,13 @@
 
     def answer(self, wanted: ConfigWanted) -> ConfigRecords:
         """Return the reply to a peer's request."""
-        if wanted.versions or not wanted.digest:
-            return ConfigRecords(self.store.lacking(wanted.versions))
+        # A request without versions but with a digest is a probe.
+        is_probe = wanted.digest and not wanted.versions
+        lacking = [] if is_probe else self.store.lacking(wanted.versions)
         age_s = self.store.age_s(self.clock())
         if wanted.digest != self.store.digest or age_s is None:
-            return ConfigRecords([])
-        return ConfigRecords([], age_s)
+            return ConfigRecords(lacking)
+        return ConfigRecords(lacking, age_s)
 
     async def stop(self) -> None:
         """Stop a request in progress."""
@@ -109,7 +110,7 @@
 
     def _is_probe_due(self) -> bool:
         now = self.clock()
-        if not self.store.digest or now < self.last_probe + PROBE_INTERVAL_S:
+        if now < self.last_probe + PROBE_INTERVAL_S:
             return False
         age_s = self.store.age_s(now)
         return age_s is None or age_s > PROBE_INTERVAL_S
@@ -121,6 +122,7 @@
         reply = await _request(channel, ConfigWanted({}, digest))
         if reply and reply.age_s >= 0 and digest == self.store.digest:
             self.store.confirm(asked_at - reply.age_s)
+            self.store.informed = True
 
     async def _pull(self, channel: Channel, digest: int) -> None:
         wait_s = self.last_pull + MIN_INTERVAL_S - self.clock()
@@ -136,7 +138,7 @@
 
     async def _pull_once(self, channel: Channel) -> bool | None:
         # True if something was taken over, None if there was no answer.
-        wanted = ConfigWanted(self.store.vector())
+        wanted = ConfigWanted(self.store.vector(), self.store.digest)
         reply = await _request(channel, wanted)
         if reply is None:
             return None
