--- /dev/null
+++ b/src/limpetlanding/telemetry/logs.py
@@ -0,0 +1,70 @@
+"""Logs: one JSON object per line."""
+
+import json
+import sys
+import traceback
+from collections.abc import Callable
+from typing import Any
+
+from loguru import logger
+
+Sink = Callable[[str], Any]
+
+
+def configure_logs(
+    level: str = 'INFO', sink: Sink | None = None, **context: str
+) -> None:
+    """Send all log lines to `sink` as JSON, one object per line.
+
+    Parameters
+    ----------
+    level : str
+        Lowest level that is written.
+    sink : callable, optional
+        Receives each line with its newline; standard error by default.
+    **context : str
+        Fields of every line, such as ``role`` and ``node``.
+
+    See Also
+    --------
+    loguru.logger.contextualize : adds fields such as ``request_id`` within a
+        block.
+    loguru.logger.bind : adds fields such as ``step`` and ``peer`` to a line.
+
+    Examples
+    --------
+    >>> lines = []
+    >>> configure_logs(sink=lines.append, node='entry-1')
+    >>> logger.bind(step='submit', peer='agent-3').info('answered')
+    >>> fields = json.loads(lines[0])
+    >>> fields['node'], fields['step'], fields['peer'], fields['message']
+    ('entry-1', 'submit', 'agent-3', 'answered')
+    """
+    write = sink or sys.stderr.write
+    logger.remove()
+    logger.configure(extra=context)
+    # Diagnosis would write the values of variables, among them customer keys
+    # and payloads, and makes a traceback cost 2 ms.
+    logger.add(
+        lambda entry: write(_line(entry.record)),
+        level=level,
+        format='{message}',
+        diagnose=False,
+        backtrace=False,
+    )
+
+
+def _line(record: Any) -> str:
+    fields = {
+        'time': record['time'].isoformat(timespec='milliseconds'),
+        'level': record['level'].name,
+        'message': record['message'],
+        **record['extra'],
+        'logger': f'{record["name"]}:{record["line"]}',
+    }
+    error = record['exception']
+    if error is not None:
+        fields['error'] = f'{type(error.value).__name__}: {error.value}'
+        fields['traceback'] = ''.join(traceback.format_exception(error.value))
+    text = json.dumps(fields, default=str, ensure_ascii=False)
+    return f'{text}\n'
--- /dev/null
+++ b/src/limpetlanding/telemetry/service.py
@@ -0,0 +1,79 @@
+"""Routes that every role serves to operators and to the load balancer."""
+
+from collections.abc import Callable, Mapping
+from ipaddress import ip_address
+from typing import Any
+
+from aiohttp import web
+
+from limpetlanding.telemetry.metrics import Metrics
+
+
+def add_service_routes(
+    app: web.Application,
+    is_ready: Callable[[], bool],
+    status: Callable[[], Mapping[str, Any]],
+    drain: Callable[[], None],
+    metrics: Metrics,
+) -> None:
+    """Add the routes to the application of a role.
+
+    ``GET /healthz`` answers 200 while the process runs. ``GET /readyz``
+    answers 200 or 503. ``GET /metrics`` and ``GET /statusz`` show the
+    process from within. ``POST /drain`` starts the planned stop and answers
+    202; it is accepted only from the host itself, because callers reach the
+    same port through the load balancer.
+
+    Parameters
+    ----------
+    app : aiohttp.web.Application
+        Application of the role.
+    is_ready : callable
+        Whether the process takes new work.
+    status : callable
+        Returns what ``limpetlanding status`` shows; must fit into JSON.
+    drain : callable
+        Starts the planned stop and returns at once; repeated calls are
+        harmless.
+    metrics : Metrics
+        Metrics of the process.
+    """
+
+    async def get_health(_request: web.Request) -> web.Response:
+        return web.json_response({'status': 'ok'})
+
+    async def get_ready(_request: web.Request) -> web.Response:
+        ready = is_ready()
+        code = web.HTTPOk if ready else web.HTTPServiceUnavailable
+        return web.json_response({'ready': ready}, status=code.status_code)
+
+    async def get_metrics(request: web.Request) -> web.Response:
+        rendered = metrics.render(request.headers.getall('Accept', []))
+        headers = {'Content-Type': rendered.content_type}
+        return web.Response(body=rendered.content, headers=headers)
+
+    async def get_status(_request: web.Request) -> web.Response:
+        return web.json_response(dict(status()))
+
+    async def post_drain(request: web.Request) -> web.Response:
+        if not _is_local(request.remote):
+            raise web.HTTPForbidden(text='accepted only from the host itself')
+        drain()
+        return web.json_response({'draining': True}, status=202)
+
+    app.add_routes(
+        [
+            web.get('/healthz', get_health),
+            web.get('/readyz', get_ready),
+            web.get('/metrics', get_metrics),
+            web.get('/statusz', get_status),
+            web.post('/drain', post_drain),
+        ]
+    )
+
+
+def _is_local(remote: str | None) -> bool:
+    try:
+        return ip_address(remote or '').is_loopback
+    except ValueError:
+        return False
--- /dev/null
+++ b/src/limpetlanding/telemetry/tests/test_traces.py
@@ -0,0 +1,78 @@
+import sys
+
+import pytest
+from opentelemetry.sdk.trace.export.in_memory_span_exporter import (
+    InMemorySpanExporter,
+)
+
+from limpetlanding.telemetry import (
+    configure_traces,
+    shut_down_traces,
+    span,
+    traces,
+)
+
+TRACE = '4bf92f3577b34da6a3ce929d0e0e4736'
+PARENT = f'00-{TRACE}-00f067aa0ba902b7-01'
+
+
+@pytest.fixture
+def exporter():
+    exporter = InMemorySpanExporter()
+    configure_traces(lambda: exporter, node='agent-1')
+    yield exporter
+    shut_down_traces()
+
+
+def finished(exporter):
+    traces._active['provider'].force_flush()
+    return exporter.get_finished_spans()
+
+
+class TestTracesOff:
+    @pytest.mark.parametrize('traceparent', ['', PARENT, 'nonsense'])
+    def test_traceparent_is_handed_on(self, traceparent):
+        # Guards against a trace of the caller that breaks in this system.
+        with span('submit', traceparent, tasks=3) as hop:
+            hop.set(outcome='complete')
+        assert hop.traceparent == traceparent
+
+    def test_error_passes(self):
+        with pytest.raises(KeyError), span('submit'):
+            raise KeyError
+
+    def test_nothing_is_imported(self):
+        # Guards against start-up time and memory for a feature that is off.
+        modules = vars(sys.modules[span.__module__])
+        assert not any('opentelemetry' in name for name in modules)
+
+
+class TestTracesOn:
+    def test_hops_form_one_trace(self, exporter):
+        with (
+            span('submit', PARENT, tasks=3) as first,
+            span('run', first.traceparent) as second,
+        ):
+            second.set(endpoint='e')
+        run, submit = finished(exporter)
+        assert f'{submit.context.trace_id:x}' == TRACE
+        assert run.parent.span_id == submit.context.span_id
+        assert submit.attributes == {'tasks': 3}
+        assert run.attributes == {'endpoint': 'e'}
+        assert submit.resource.attributes['node'] == 'agent-1'
+        assert first.traceparent.startswith(f'00-{TRACE}-')
+
+    @pytest.mark.parametrize('traceparent', ['', 'nonsense'])
+    def test_without_parent_a_trace_starts(self, exporter, traceparent):
+        # Guards against a span of another request that becomes the parent.
+        with span('other'), span('submit', traceparent):
+            pass
+        submit, other = finished(exporter)
+        assert submit.parent is None
+        assert submit.context.trace_id != other.context.trace_id
+
+    def test_error_is_recorded(self, exporter):
+        with pytest.raises(KeyError), span('submit'):
+            raise KeyError
+        (submit,) = finished(exporter)
+        assert not submit.status.is_ok
--- /dev/null
+++ b/src/limpetlanding/telemetry/traces.py
@@ -0,0 +1,143 @@
+"""Traces: one span per hop, off by default.
+
+While traces are off, the libraries of OpenTelemetry are not imported and a
+span only hands on the ``traceparent`` that it was given.
+
+References
+----------
+W3C Trace Context, https://www.w3.org/TR/trace-context/
+"""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+SpanExporterFactory = Callable[[], Any]
+
+# Filled by `configure_traces`; empty while traces are off.
+_active: dict[str, Any] = {}
+
+
+class Hop:
+    """A span in progress.
+
+    Parameters
+    ----------
+    traceparent : str
+        Value to hand on to the next hop.
+    recorded : object, optional
+        The span of OpenTelemetry; None while traces are off.
+    """
+
+    __slots__ = ('recorded', 'traceparent')
+
+    def __init__(self, traceparent: str, recorded: Any = None) -> None:
+        self.traceparent = traceparent
+        self.recorded = recorded
+
+    def set(self, **attributes: Any) -> None:
+        """Add attributes that became known within the span."""
+        if self.recorded is not None:
+            self.recorded.set_attributes(attributes)
+
+
+@contextmanager
+def span(name: str, traceparent: str = '', **attributes: Any) -> Iterator[Hop]:
+    """Record a span around a block.
+
+    Parameters
+    ----------
+    name : str
+        Step of the request, such as ``submit``.
+    traceparent : str
+        Value received from the previous hop; empty starts a trace.
+    **attributes : str, bool, int or float
+        Attributes of the span.
+
+    Yields
+    ------
+    Hop
+        Its ``traceparent`` goes to the next hop.
+
+    Examples
+    --------
+    >>> with span('submit', '00-1f-2e-01') as hop:
+    ...     hop.traceparent
+    '00-1f-2e-01'
+    """
+    if not _active:
+        yield Hop(traceparent)
+        return
+    parent = _extract(traceparent)
+    with _active['tracer'].start_as_current_span(
+        name, context=parent, attributes=attributes
+    ) as recorded:
+        yield Hop(_inject(recorded), recorded)
+
+
+def configure_traces(exporter: SpanExporterFactory, **resource: str) -> None:
+    """Turn traces on.
+
+    Parameters
+    ----------
+    exporter : callable
+        Returns an OpenTelemetry span exporter, such as `otlp_exporter`.
+    **resource : str
+        Attributes of the process, such as ``role`` and ``node``.
+    """
+    from opentelemetry.sdk.resources import Resource
+    from opentelemetry.sdk.trace import TracerProvider
+    from opentelemetry.sdk.trace.export import BatchSpanProcessor
+
+    shut_down_traces()
+    attributes = {'service.name': 'limpetlanding', **resource}
+    provider = TracerProvider(resource=Resource(attributes))
+    provider.add_span_processor(BatchSpanProcessor(exporter()))
+    _active['provider'] = provider
+    _active['tracer'] = provider.get_tracer('limpetlanding')
+
+
+def otlp_exporter(url: str) -> SpanExporterFactory:
+    """Return a factory for an exporter that sends OTLP over HTTP to `url`."""
+
+    def create() -> Any:
+        from opentelemetry.exporter.otlp.proto.http.trace_exporter import (
+            OTLPSpanExporter,
+        )
+
+        return OTLPSpanExporter(endpoint=url)
+
+    return create
+
+
+def shut_down_traces() -> None:
+    """Send the spans that wait, and turn traces off."""
+    provider = _active.pop('provider', None)
+    _active.clear()
+    if provider is not None:
+        provider.shutdown()
+
+
+def _propagator() -> Any:
+    from opentelemetry.trace.propagation.tracecontext import (
+        TraceContextTextMapPropagator,
+    )
+
+    return TraceContextTextMapPropagator()
+
+
+def _extract(traceparent: str) -> Any:
+    from opentelemetry.context import Context
+
+    # The empty context keeps the spans of other requests in the same task
+    # from becoming parents.
+    carrier = {'traceparent': traceparent}
+    return _propagator().extract(carrier, Context())
+
+
+def _inject(recorded: Any) -> str:
+    from opentelemetry.trace import set_span_in_context
+
+    carrier: dict[str, str] = {}
+    _propagator().inject(carrier, set_span_in_context(recorded))
+    return carrier['traceparent']
