Send a reply on the link of its request; let dialers be taken over

Change: the reply goes to the link on which the latest copy arrived. A dial renews a dialer that is about to end. Tests cover a paused peer and 20 seeds of random link faults.

--- a/src/limpetlanding/wire/channel.py
+++ b/src/limpetlanding/wire/channel.py
@@ -39,6 +39,14 @@
     sent: bool = False
 
 
+@dataclass(slots=True)
+class _Serving:
+    task: asyncio.Task[None]
+    # The link of the latest copy. The reply goes there, since the requester
+    # repeats the request only if it loses that link.
+    link: Link
+
+
 class Channel:
     """All traffic with one peer incarnation.
 
@@ -82,7 +90,7 @@
         self.link_lost_at: float | None = None
         self.on_heartbeat: Callable[[Channel, int], None] | None = None
         self.pending: dict[int, _Pending] = {}
-        self.serving: dict[int, asyncio.Task[None]] = {}
+        self.serving: dict[int, _Serving] = {}
         self.notified: set[asyncio.Task[None]] = set()
         self.numbers = numbers
         self.logged_at: dict[str, float] = {}
@@ -173,7 +181,7 @@
         if frame.kind == FrameKind.REPLY:
             self._receive_reply(frame)
         elif frame.kind == FrameKind.REQUEST:
-            self._receive_request(frame)
+            self._receive_request(link, frame)
         elif isinstance(frame.message, Heartbeat):
             self._receive_heartbeat(frame.message)
         else:
@@ -234,26 +242,27 @@
         else:
             pending.answer.set_result(frame.message)
 
-    def _receive_request(self, frame: Frame) -> None:
-        number = frame.number
-        if number in self.serving:
-            # The reply to the first copy goes to the newest link.
+    def _receive_request(self, link: Link, frame: Frame) -> None:
+        serving = self.serving.get(frame.number)
+        if serving is not None:
             self.counters.events['requests_joined'] += 1
+            serving.link = link
             return
         task = self.loop.create_task(self._serve_request(frame))
-        self.serving[number] = task
+        self.serving[frame.number] = _Serving(task, link)
 
     async def _serve_request(self, frame: Frame) -> None:
+        serving = self.serving[frame.number]
         try:
             reply = await self._reply_to(frame)
-            if self.links:
-                await self.links[-1].wait_for_room()
+            await serving.link.wait_for_room()
         finally:
             self.serving.pop(frame.number, None)
         try:
-            self._send_reply(frame.number, reply)
+            self._send_reply(serving.link, frame.number, reply)
         except ProtocolError as error:
-            self._send_reply(frame.number, self._error_reply(frame, error))
+            reply = self._error_reply(frame, error)
+            self._send_reply(serving.link, frame.number, reply)
 
     async def _reply_to(self, frame: Frame) -> Any:
         if self.stopping:
@@ -261,7 +270,10 @@
         try:
             return await self.handler(self, frame.message) or Ack()
         except asyncio.CancelledError as error:
-            self._send_reply(frame.number, self._error_reply(frame, error))
+            link = self.serving[frame.number].link
+            self._send_reply(
+                link, frame.number, self._error_reply(frame, error)
+            )
             raise
         except LimpetlandingError as error:
             return self._error_reply(frame, error)
@@ -269,8 +281,8 @@
             self._log_failure(frame.tag, error)
             return self._error_reply(frame, error)
 
-    def _send_reply(self, number: int, reply: Any) -> None:
-        for link in reversed(self.links):
+    def _send_reply(self, first: Link, number: int, reply: Any) -> None:
+        for link in (first, *reversed(self.links)):
             if link.send(FrameKind.REPLY, number, reply):
                 return
         self.counters.events['replies_unsent'] += 1
--- a/src/limpetlanding/wire/dialer.py
+++ b/src/limpetlanding/wire/dialer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from enum import StrEnum
 from typing import Any
 
@@ -69,19 +70,39 @@
         self.refused_since: float | None = None
         self.backoff_s = options.timing.redial_min_s
         self.linked = asyncio.Event()
-        self.ended = False
+        self.renewed = asyncio.Event()
+        self.task: asyncio.Task[None]
 
-    async def run(self) -> None:
-        """Connect, wait until the link is lost, and start again."""
-        if self.mode is DialMode.RECOVER:
-            # The peer that dialed before is the first to try again.
-            await asyncio.sleep(self.options.timing.suspect_s)
-        while not self._is_done():
-            channel = self.peers.newest_at(self.address)
-            if channel is not None and channel.links:
-                await self._wait_while_linked(channel)
-            else:
-                await self._attempt()
+    def start(self, on_end: Callable[['Dialer'], None]) -> None:
+        """Start the task; `on_end` is called when it has ended."""
+
+        def end(_task: asyncio.Task[None]) -> None:
+            on_end(self)
+            self.linked.set()  # Releases those that wait for a link.
+
+        self.task = self.loop.create_task(self._run())
+        self.task.add_done_callback(end)
+
+    def cancel(self) -> None:
+        """Stop dialing; links stay open."""
+        self.task.cancel()
+
+    def has_ended(self) -> bool:
+        """Whether it no longer dials."""
+        return self.task.done()
+
+    def renew(self, mode: DialMode) -> None:
+        """Go on for another caller.
+
+        The incarnation reached before may be gone, which must not end the
+        search for its successor.
+        """
+        if self.mode is not DialMode.FOLLOW:
+            self.mode = mode
+        if self.target is not None and self.target.closed.is_set():
+            self.target = None
+        self.started = self.loop.time()
+        self.renewed.set()
 
     async def wait_linked(self) -> Channel:
         """Return the channel as soon as the peer has a link.
@@ -91,17 +112,26 @@
         PeerLost
             If the dialer has given up.
         """
-        while not self.ended:
+        while not self.has_ended():
             await self.linked.wait()
             channel = self.peers.newest_at(self.address)
             if channel is not None and channel.links:
                 return channel
+            await asyncio.sleep(0)  # Lets the task notice the lost link.
         raise PeerLost('connection refused', step='dial', peer=self.address)
 
-    def end(self) -> None:
-        """Release those that wait for a link after `run` has ended."""
-        self.ended = True
-        self.linked.set()
+    async def _run(self) -> None:
+        if self.mode is DialMode.RECOVER:
+            # The peer that dialed before is the first to try again.
+            with suppress(TimeoutError):
+                async with asyncio.timeout(self.options.timing.suspect_s):
+                    await self.renewed.wait()
+        while not self._is_done():
+            channel = self.peers.newest_at(self.address)
+            if channel is not None and channel.links:
+                await self._wait_while_linked(channel)
+            else:
+                await self._attempt()
 
     def _is_done(self) -> bool:
         target = self.target
--- a/src/limpetlanding/wire/node.py
+++ b/src/limpetlanding/wire/node.py
@@ -70,7 +70,6 @@
         )
         # Includes those that recover links which the peer had dialed.
         self.all_dialers: dict[str, Dialer] = {}
-        self.dialer_tasks: dict[str, asyncio.Task[None]] = {}
         self.link_tasks: set[asyncio.Task[Any]] = set()
         self.server: asyncio.Server | None = None
         self.stopping = False
@@ -133,7 +132,7 @@
         self.stopping = True
         if self.server is not None:
             self.server.close()
-        await _cancel(self.dialer_tasks.values())
+        await _cancel([x.task for x in self.all_dialers.values()])
         for channel in self.channels:
             channel.stopping = True
         if drain:
@@ -141,7 +140,8 @@
         self.peers.events.down = _ignore
         for channel in self.channels:
             self.peers.remove(channel, 'this node has stopped')
-            await _cancel([*channel.serving.values(), *channel.notified])
+            serving = [serving.task for serving in channel.serving.values()]
+            await _cancel([*serving, *channel.notified])
         await _cancel(self.link_tasks)
 
     def keep_dialing(self, address: str) -> None:
@@ -155,7 +155,7 @@
             return
         dialer.target = self.peers.newest_at(address)
         if dialer.target is None or dialer.target.links:
-            self.dialer_tasks[address].cancel()
+            dialer.cancel()
         else:
             # Requests may still wait for the peer, or for proof that it is
             # gone.
@@ -221,27 +221,25 @@
         self, address: str, mode: DialMode, target: Channel | None = None
     ) -> Dialer:
         dialer = self.all_dialers.get(address)
-        if dialer is None:
-            dialer = Dialer(
-                address,
-                mode,
-                self.peers,
-                self._open,
-                self.options,
-                self.counters,
-                target,
-            )
-            self.all_dialers[address] = dialer
-            task = asyncio.create_task(dialer.run())
-            self.dialer_tasks[address] = task
-            task.add_done_callback(lambda _: self._dialer_done(address))
-        elif dialer.mode is not DialMode.FOLLOW:
-            dialer.mode = mode
+        if dialer is not None and not dialer.has_ended():
+            dialer.renew(mode)
+            return dialer
+        dialer = Dialer(
+            address,
+            mode,
+            self.peers,
+            self._open,
+            self.options,
+            self.counters,
+            target,
+        )
+        self.all_dialers[address] = dialer
+        dialer.start(self._dialer_ended)
         return dialer
 
-    def _dialer_done(self, address: str) -> None:
-        self.dialer_tasks.pop(address, None)
-        self.all_dialers.pop(address).end()
+    def _dialer_ended(self, dialer: Dialer) -> None:
+        if self.all_dialers.get(dialer.address) is dialer:
+            self.all_dialers.pop(dialer.address)
 
     def _recover(self, channel: Channel) -> None:
         # The peer usually dials again. This node dials as well, because only
@@ -252,9 +250,9 @@
 
     async def _drain(self) -> None:
         serving = [
-            task
+            serving.task
             for channel in self.channels
-            for task in channel.serving.values()
+            for serving in channel.serving.values()
         ]
         drain_s = self.options.timing.drain_s
         if serving:
--- a/src/limpetlanding/wire/tests/faulty.py
+++ b/src/limpetlanding/wire/tests/faulty.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import Counter
-from contextlib import suppress
+from contextlib import contextmanager, suppress
 from itertools import count
 
 import async_solipsism
@@ -70,6 +70,11 @@
     def directions(self):
         return (self.to_server, self.to_client)
 
+    @property
+    def writers(self):
+        """Writers of the two processes."""
+        return (self.client[1], self.server[1])
+
     def silence(self, to_server=True, to_client=True):
         self.to_server.silent |= to_server
         self.to_client.silent |= to_client
@@ -99,12 +104,15 @@
         self.connections = []
         self.refused = set()
         self.unreachable = set()
+        self.paused = {}
         self.ports = count(60_000)
         self.tasks = set()
         self.attempts = Counter()
 
-    async def connect(self, host, port, **_):
+    async def connect(self, host, port, source='', **_):
         address = f'{host}:{port}'
+        if source in self.paused:
+            await self.paused[source].wait()
         self.attempts[address] += 1
         if address in self.unreachable:
             await asyncio.Event().wait()
@@ -116,13 +124,32 @@
             await async_solipsism.stream_pairs(),
         )
         self.connections.append(connection)
-        task = asyncio.create_task(
-            self.listeners[address].accept(*connection.server)
-        )
+        task = asyncio.create_task(self._accept(address, connection))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return connection.client
 
+    async def _accept(self, address, connection):
+        if address in self.paused:
+            await self.paused[address].wait()
+        if address in self.listeners:
+            await self.listeners[address].accept(*connection.server)
+
+    @contextmanager
+    def pause(self, address):
+        """Let a process stand still: it accepts, reads and dials nothing.
+
+        Dialing is held back if `connect` is given the source. The timers of
+        the process go on, unlike those of a process that is stopped.
+        """
+        self.paused[address] = asyncio.Event()
+        for connection in self.connections:
+            connection.stall()
+        yield
+        self.paused.pop(address).set()
+        for connection in self.connections:
+            connection.resume()
+
     async def serve(self, accept, host, port, **_):
         address = f'{host}:{port or next(self.ports)}'
         if address in self.listeners:
--- a/src/limpetlanding/wire/tests/test_node.py
+++ b/src/limpetlanding/wire/tests/test_node.py
@@ -1,5 +1,7 @@
 import asyncio
 from contextlib import asynccontextmanager
+from functools import partial
+from random import Random
 
 import pytest
 
@@ -51,8 +53,8 @@
         node = Node(
             Hello(1, 'agent', address, incarnation, 'd', address, ''),
             Answering(),
-            NodeOptions(**options),
-            connect=self.network.connect,
+            NodeOptions(rng=Random(len(self.nodes)), **options),
+            connect=partial(self.network.connect, source=address),
             serve=self.network.serve,
         )
         node.changes = []
@@ -148,8 +150,8 @@
             second.handler.delay_s = 60
             asked = asyncio.create_task(channel.request(question(), 30))
             await asyncio.sleep(1)
-            for task in second.channels[0].serving.values():
-                task.cancel()
+            for serving in second.channels[0].serving.values():
+                serving.task.cancel()
             with pytest.raises(RemoteError, match='Cancelled'):
                 await asked
 
@@ -213,6 +215,48 @@
             assert channel.loop.time() - started <= 1.6
             assert all(n.changes == [('up', '1')] for n in cluster.nodes)
 
+    async def test_reply_does_not_take_a_link_that_went_silent(self):
+        # Guards against a reply that is lost on one of two links, while the
+        # requester sees the link of its request alive and repeats nothing.
+        async with run_cluster() as cluster:
+            first, second = await cluster.node(A), await cluster.node(B)
+            there, back = await asyncio.gather(first.dial(B), second.dial(A))
+            used, other = (
+                next(
+                    connection
+                    for connection in cluster.network.connections
+                    if link.writer in connection.writers
+                )
+                for link in reversed(there.links)
+            )
+            back.links.sort(key=lambda link: link.writer in other.writers)
+            back.handler.delay_s = 0.5
+            asked = asyncio.create_task(there.request(question('x'), 10))
+            await asyncio.sleep(0.1)
+            assert used is not other
+            other.silence()
+            assert (await asked).incarnation == 'x'
+
+    async def test_paused_peer_answers_when_it_resumes(self):
+        # Guards against requests that are lost, or answered twice, when a
+        # paused process finds old and new connections at once.
+        async with run_cluster() as cluster:
+            first, _, channel = await cluster.pair()
+            await asyncio.sleep(1)
+            with cluster.network.pause(B):
+                asked = [
+                    asyncio.create_task(channel.request(question(text), 60))
+                    for text in 'abc'
+                ]
+                await asyncio.sleep(10)
+                assert channel.suspect
+                assert first.changes == [('up', '1'), ('down', '1')]
+            replies = await asyncio.gather(*asked)
+            assert [reply.incarnation for reply in replies] == list('abc')
+            await asyncio.sleep(5)
+            assert not channel.suspect
+            assert first.counters.events['replies_dropped'] == 0
+
     async def test_silent_peer_is_suspect_after_one_second(self):
         # Guards against placements on a peer that does not answer.
         async with run_cluster() as cluster:
@@ -514,6 +558,19 @@
             with pytest.raises(PeerLost, match='refuses'):
                 await asked
 
+    async def test_dial_does_not_wait_for_the_peer_to_dial(self):
+        # Guards against a request delayed by the head start that the peer
+        # has after a lost link.
+        async with run_cluster() as cluster:
+            _, second, _ = await cluster.pair()
+            await asyncio.sleep(5)
+            cluster.network.refused.add(B)
+            cluster.network.connections[0].reset()
+            await asyncio.sleep(0.1)
+            started = asyncio.get_running_loop().time()
+            await second.dial(A)
+            assert asyncio.get_running_loop().time() - started < 0.1
+
     async def test_stopped_dialing_keeps_the_link(self):
         async with run_cluster() as cluster:
             first, _, channel = await cluster.pair()
@@ -640,6 +697,57 @@
             assert second.handler.finished == outcomes.count('reply')
 
 
+class TestManyFaults:
+    @pytest.mark.parametrize('seed', range(20))
+    async def test_every_request_gets_its_own_reply(self, seed):
+        # Guards against requests that hang or get a foreign reply after any
+        # sequence of link faults, each of which ends.
+        rng = Random(seed)
+        async with run_cluster() as cluster:
+            first, second = await cluster.node(A), await cluster.node(B)
+            there, back = await asyncio.gather(first.dial(B), second.dial(A))
+            disturbing = asyncio.create_task(disturb(cluster.network, rng))
+            asked = []
+            for number in range(300):
+                for channel in (there, back):
+                    request = channel.request(question(str(number)), 40)
+                    asked.append(asyncio.create_task(request))
+                second.handler.delay_s = rng.choice([0, 0.1, 2])
+                await asyncio.sleep(0.1)
+            await disturbing
+            replies = await asyncio.gather(*asked)
+            numbers = [int(reply.incarnation) for reply in replies]
+            assert numbers == [n for n in range(300) for _ in range(2)]
+
+
+async def disturb(network, rng):
+    """Disturb connections for 30 s; addresses refuse for under 4 s."""
+    for _ in range(60):
+        connection = rng.choice(network.connections[-3:])
+        fault = rng.randrange(6)
+        if fault == 0:
+            connection.silence(rng.random() < 0.5, rng.random() < 0.5)
+        elif fault == 1:
+            connection.silence()
+        elif fault == 2:
+            connection.reset()
+        elif fault == 3:
+            connection.stall(rng.random() < 0.5, rng.random() < 0.5)
+        elif fault == 4:
+            network.refused = {rng.choice([A, B])}
+        else:
+            network.refused = set()
+            connection.resume()
+        if rng.random() < 0.2:
+            network.refused = set()
+        await asyncio.sleep(0.5)
+        if len(network.refused) and rng.random() < 0.5:
+            network.refused = set()
+    network.refused = set()
+    for connection in network.connections:
+        connection.resume()
+
+
 class TestSlowReader:
     async def test_notifications_are_dropped_and_requests_wait(self):
         # Guards against memory that grows with a peer which does not read,
