Do not count a process's own pause as silence of its peers

Cause: a process that stood still found all peers suspect when it resumed, and one that is always late never noticed a silent link. Change: the lateness of the link timer is added to the time of the last frame. Peers that come up, go down or are closed are logged.

--- a/src/limpetlanding/wire/channel.py
+++ b/src/limpetlanding/wire/channel.py
@@ -211,7 +211,8 @@
         )
         for link in reversed(self.links):
             if link.send(FrameKind.REQUEST, number, message):
-                self.counters.events['requests_repeated'] += pending.sent
+                if pending.sent:
+                    self.counters.events['requests_repeated'] += 1
                 pending.link = link
                 pending.sent = True
                 return
@@ -319,7 +320,9 @@
 
 
 def _with_time_left(message: Any, elapsed_s: float) -> Any:
-    if not elapsed_s or not hasattr(message, 'deadline_ms'):
+    elapsed_ms = elapsed_s * 1000
+    # The first transmission follows at once and goes out unchanged.
+    if elapsed_ms < 1 or not hasattr(message, 'deadline_ms'):
         return message
-    left_ms = max(0, message.deadline_ms - elapsed_s * 1000)
+    left_ms = max(0, message.deadline_ms - elapsed_ms)
     return replace(message, deadline_ms=left_ms)
--- a/src/limpetlanding/wire/link.py
+++ b/src/limpetlanding/wire/link.py
@@ -262,11 +262,13 @@
             return
         now = self.loop.time()
         timing = self.timing
-        # A process that was paused finds all links silent when it resumes;
-        # it first reads what arrived meanwhile.
-        was_paused = now - self.tick_due > timing.heartbeat_s / 2
+        late_s = now - self.tick_due
+        if late_s > timing.heartbeat_s / 2:
+            # The time in which this process itself stood still does not
+            # count: what arrived meanwhile has yet to be read.
+            self.last_received = min(now, self.last_received + late_s)
         silent_s = now - self.last_received
-        if silent_s >= timing.silence_s and not was_paused:
+        if silent_s >= timing.silence_s:
             self.counters.events['links_silent'] += 1
             self.abort()
             return
--- a/src/limpetlanding/wire/peers.py
+++ b/src/limpetlanding/wire/peers.py
@@ -103,6 +103,7 @@
             self._claim(channel, address, proven=bool(dialed))
         channel.attach(link)
         if channel.lifecycle.move(PeerState.UP):
+            _log(channel, 'peer is up')
             _call(self.events.up, channel)
         return channel
 
@@ -144,6 +145,7 @@
         channel.fail(detail)
         was_up = channel.lifecycle.state is PeerState.UP
         channel.lifecycle.move(PeerState.GONE)
+        _log(channel, f'channel closed: {detail}')
         if was_up:
             _call(self.events.down, channel)
 
@@ -171,6 +173,7 @@
         is_up = channel.lifecycle.state is PeerState.UP
         if is_up and channel.link_lost_at == lost_at:
             channel.lifecycle.move(PeerState.DOWN)
+            _log(channel, 'peer is down')
             _call(self.events.down, channel)
 
     def _forget(self, channel: Channel, lost_at: float) -> None:
@@ -178,6 +181,14 @@
             self.remove(channel, 'no link for too long')
 
 
+def _log(channel: Channel, text: str) -> None:
+    logger.bind(
+        step='peer',
+        peer=channel.peer.node,
+        incarnation=channel.peer.incarnation,
+    ).info('{}', text)
+
+
 def _call(callback: Callable[[Channel], Any], channel: Channel) -> None:
     # A failing callback must not take the link or the timer with it.
     try:
--- a/src/limpetlanding/wire/tests/test_node.py
+++ b/src/limpetlanding/wire/tests/test_node.py
@@ -257,6 +257,32 @@
             assert not channel.suspect
             assert first.counters.events['replies_dropped'] == 0
 
+    async def test_own_pause_is_not_taken_for_silence_of_the_peers(self):
+        # Guards against a process that drops all its links, or places
+        # nothing, because it stood still itself.
+        async with run_cluster() as cluster:
+            first, second, channel = await cluster.pair()
+            await asyncio.sleep(5)
+            channel.loop._selector.clock.advance(30)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            assert not channel.suspect
+            await asyncio.sleep(5)
+            assert not first.counters.events
+            assert not second.counters.events
+
+    async def test_silence_is_noticed_by_a_process_that_is_always_late(self):
+        # Guards against an overloaded process that never notices a silent
+        # link.
+        async with run_cluster() as cluster:
+            first, _, channel = await cluster.pair()
+            await asyncio.sleep(5)
+            cluster.network.connections[0].silence()
+            for _ in range(12):
+                channel.loop._selector.clock.advance(0.3)
+                await asyncio.sleep(0.01)
+            assert first.counters.events['links_silent'] == 1
+
     async def test_silent_peer_is_suspect_after_one_second(self):
         # Guards against placements on a peer that does not answer.
         async with run_cluster() as cluster:
