Only peers that name the same address exclude one another

Cause: a peer reached at an address that it does not name, such as that of a load balancer, made the peer reached there before look gone for good. Change: an incarnation is given up only for one that names the same address.

--- a/src/limpetlanding/wire/peers.py
+++ b/src/limpetlanding/wire/peers.py
@@ -100,7 +100,8 @@
             channel = self.create(hello)
             self.channels[key] = channel
         for address in {hello.address, dialed} - {''}:
-            self._claim(channel, address, proven=bool(dialed))
+            self._note_address(channel, address)
+        self._replace(channel, proven=dialed == hello.address)
         channel.attach(link)
         if channel.lifecycle.move(PeerState.UP):
             _log(channel, 'peer is up')
@@ -149,24 +150,32 @@
         if was_up:
             _call(self.events.down, channel)
 
-    def _claim(self, channel: Channel, address: str, proven: bool) -> None:
+    def _note_address(self, channel: Channel, address: str) -> None:
         channels = self.at_address.setdefault(address, [])
-        if channel not in channels:
-            channels.append(channel)
+        if channel in channels:
+            channels.remove(channel)
+        channels.append(channel)
+
+    def _replace(self, channel: Channel, proven: bool) -> None:
         # A peer that answers at an address it was dialed at is there. One
         # that only names the address may be a late frame of an earlier
         # process, so an incarnation heard just now is not given up for it.
-        for other in channels.copy():
-            if other is not channel and (proven or other.suspect):
+        for other in self._rivals(channel):
+            if proven or other.suspect:
                 self.declare_gone(other)
 
     def _successors(self, channel: Channel) -> list[Channel]:
+        return [other for other in self._rivals(channel) if other.links]
+
+    def _rivals(self, channel: Channel) -> list[Channel]:
+        # Only peers that name the same address exclude one another. Several
+        # may be reached in turn at an address that none of them names, such
+        # as that of a load balancer.
+        address = channel.peer.address
         return [
             other
-            for channels in self.at_address.values()
-            if channel in channels
-            for other in channels
-            if other is not channel and other.links
+            for other in self.at_address.get(address, [])
+            if other is not channel and other.peer.address == address
         ]
 
     def _report_down(self, channel: Channel, lost_at: float) -> None:
--- a/src/limpetlanding/wire/tests/test_node.py
+++ b/src/limpetlanding/wire/tests/test_node.py
@@ -489,6 +489,26 @@
             assert first.changes[-1] == ('down', '1')
             assert await channel.request(question(), 1)
 
+    async def test_peers_behind_one_address_do_not_replace_each_other(self):
+        # Guards against live peers taken for gone because a load balancer
+        # led to another one.
+        shared = '10.0.0.99:7000'
+        async with run_cluster() as cluster:
+            first = await cluster.node(A)
+            others = [await cluster.node(f'10.0.1.{n}:7000') for n in (1, 2)]
+            first.keep_dialing(shared)
+            for other in others:
+                address = other.hello.address
+                listener = cluster.network.listeners[address]
+                cluster.network.listeners[shared] = listener
+                for connection in cluster.network.to(shared):
+                    connection.reset()
+                await asyncio.sleep(0.5)
+            await asyncio.sleep(3)
+            assert first.changes == [('up', '1'), ('up', '1')]
+            for channel in first.channels:
+                assert await channel.request(question(), 1)
+
     async def test_dial_tells_that_another_incarnation_is_there(self):
         async with run_cluster() as cluster:
             first, _, _ = await cluster.pair()
