--- a/src/limpetlanding/agent/role.py
+++ b/src/limpetlanding/agent/role.py
@@ -377,7 +377,8 @@
 
 def _node_options(settings: Settings) -> NodeOptions:
     delay = settings.emulated_delay_ms
-    options = NodeOptions(listen_host=settings.listen.host)
+    listen = f'{settings.listen.host}:{settings.listen.port}'
+    options = NodeOptions(listen=listen)
     if delay.own or delay.cross:
         options.emulated_delay_ms = lambda here, there: (
             delay.own if here == there else delay.cross
