Place each task once even if an entry names two places

Two placements of one task in a submission or in a reply to PlaceAgain sent it to two executors. Bounds of records now hold for the process with all ledgers it took over, and these are retired after an hour without records.

--- a/src/limpetlanding/agent/coordinator.py
+++ b/src/limpetlanding/agent/coordinator.py
@@ -155,8 +155,17 @@
     def sweep(self) -> None:
         """Drop records that are past their retention."""
         now = self.ports.clock()
-        for ledger in self.ledgers.values():
-            ledger.sweep(now, self.options.limits)
+        limits = self.options.limits
+        # The bounds are for the process, whatever it has taken over.
+        each = replace(
+            limits,
+            max_records=limits.max_records // len(self.ledgers),
+            max_bytes=limits.max_bytes // len(self.ledgers),
+        )
+        for ledger in list(self.ledgers.values()):
+            ledger.sweep(now, each)
+            if ledger.is_retired(now, self.options.keep_taken_s):
+                del self.ledgers[ledger.incarnation]
 
     def end_origin(self, incarnation: str) -> None:
         """Answer the jobs that a lost agent had not ended when it left."""
--- a/src/limpetlanding/agent/endpoints.py
+++ b/src/limpetlanding/agent/endpoints.py
@@ -175,8 +175,12 @@
         ]
         return min(free, key=lambda x: x.busy / x.slots, default=None)
 
+    def fits(self, kind: str, size: int) -> bool:
+        """Whether some endpoint under a lease takes this kind and size."""
+        return any(x.offers(kind, size) for x in self.serving())
+
     def takes(self, kind: str, size: int) -> bool:
-        """Whether some endpoint that is up takes such tasks."""
+        """Whether some endpoint that accepts connections takes such tasks."""
         return any(
             x.offers(kind, size) for x in self.serving() if not x.suspect
         )
--- a/src/limpetlanding/agent/executor.py
+++ b/src/limpetlanding/agent/executor.py
@@ -251,8 +251,10 @@
         if not self.endpoints.serves_kind(spec.kind):
             known = spec.kind in self.endpoints.known_kinds
             return Reason.ENDPOINT_AWAY if known else Reason.NO_ENDPOINT
+        if not self.endpoints.fits(spec.kind, spec.size):
+            return Reason.TOO_LARGE
         if not self.endpoints.takes(spec.kind, spec.size):
-            return Reason.TOO_LARGE if spec.size else Reason.ENDPOINT_AWAY
+            return Reason.ENDPOINT_AWAY
         return ''
 
     async def _wait(
--- a/src/limpetlanding/agent/handover.py
+++ b/src/limpetlanding/agent/handover.py
@@ -60,9 +60,9 @@
         for packed in message.records:
             unpack_into(ledger, packed, now)
         if message.last:
-            coordinator.ledgers[message.incarnation] = self.staged.pop(
-                message.incarnation
-            )
+            ledger.taken_at = now
+            coordinator.ledgers[message.incarnation] = ledger
+            del self.staged[message.incarnation]
             self.on_taken(message.incarnation)
         return Ack()
 
--- a/src/limpetlanding/agent/jobrun.py
+++ b/src/limpetlanding/agent/jobrun.py
@@ -217,7 +217,9 @@
         task.add_done_callback(self.tasks.discard)
 
     def _launch(self, placements: Iterable[Placement]) -> None:
-        by_incarnation = sorted(placements, key=_incarnation)
+        # Two placements of one task would be two starts.
+        by_index = {placement.index: placement for placement in placements}
+        by_incarnation = sorted(by_index.values(), key=_incarnation)
         for _, members in groupby(by_incarnation, key=_incarnation):
             placed = list(members)
             for placement in placed:
--- a/src/limpetlanding/agent/options.py
+++ b/src/limpetlanding/agent/options.py
@@ -18,7 +18,8 @@
     # executor is silent is answered this long after its deadline.
     answer_grace_s: float = 0.5
     revoke_timeout_s: float = 1
-    place_timeout_s: float = 1
+    # Ledgers taken over would otherwise pile up: 2,200 restarts a day.
+    keep_taken_s: float = 3600
 
 
 @dataclass(slots=True)
--- a/src/limpetlanding/agent/records.py
+++ b/src/limpetlanding/agent/records.py
@@ -60,7 +60,8 @@
     """Records and issued sequence numbers of one incarnation.
 
     `active` holds running jobs, `ended` holds final answers in the order in
-    which the jobs ended.
+    which the jobs ended. `taken_at` is when the ledger was taken over from
+    another agent; None for the agent's own.
     """
 
     incarnation: str
@@ -70,6 +71,7 @@
     ended: OrderedDict[int, JobRecord] = field(default_factory=OrderedDict)
     expired: IntervalSet = field(default_factory=IntervalSet)
     bytes_held: int = 0
+    taken_at: float | None = None
 
     def issue(self, count: int) -> int:
         """Issue a block of sequence numbers and return the first."""
@@ -99,6 +101,15 @@
         self.ended[record.sequence] = record
         self.bytes_held += record.size
 
+    def is_retired(self, now: float, keep_s: float) -> bool:
+        """Whether a ledger taken over is of no more use.
+
+        Its unused ids then count as those of a lost coordinator.
+        """
+        if self.taken_at is None or self.active or self.ended:
+            return False
+        return now > self.taken_at + keep_s
+
     def sweep(self, now: float, limits: RecordLimits) -> int:
         """Drop ended records that are too old or exceed the bounds.
 
--- a/src/limpetlanding/agent/tests/fakes.py
+++ b/src/limpetlanding/agent/tests/fakes.py
@@ -217,6 +217,7 @@
     tasks: list = field(default_factory=list)
     cores: list = field(default_factory=list)
     paused_s: float = 0
+    place_all: bool = False
     numbers: count = field(default_factory=lambda: count(1))
 
     @property
@@ -281,7 +282,8 @@
                 if node not in message.avoid:
                     core = self.agents[node]
                     placements.append(self.placement(spec.index, core))
-                    break
+                    if not self.place_all:
+                        break
         return Placements(placements)
 
     async def close(self):
--- a/src/limpetlanding/agent/tests/test_handover.py
+++ b/src/limpetlanding/agent/tests/test_handover.py
@@ -192,6 +192,19 @@
         assert (await new.handle(None, locate)).known
         assert (await old.handle(None, AllocateIds(10))).count == 0
 
+    async def test_ledger_taken_over_is_retired(self, net, pair):
+        # Guards the memory of agents in a rolling restart every day.
+        old, new = pair
+        job_id, unused = new_id(old), new_id(old)
+        await old.handle(None, submission(job_id, [old]))
+        await old.handovers.hand_over(channel(net, old, new))
+        await asyncio.sleep(3000)
+        assert old.incarnation in new.coordinator.ledgers
+        await asyncio.sleep(700)
+        assert old.incarnation not in new.coordinator.ledgers
+        answer = await new.handle(None, submission(unused, [new]))
+        assert answer.reason == 'coordinator_lost'
+
     async def test_many_large_records(self, net, pair):
         # Guards against a handover beyond the frame limit.
         old, new = pair
--- a/src/limpetlanding/agent/tests/test_submit.py
+++ b/src/limpetlanding/agent/tests/test_submit.py
@@ -41,6 +41,27 @@
         assert later.outcome == 'complete'
         assert sum(net.starts.values()) == 1
 
+    async def test_two_placements_of_one_task(self, net):
+        # Guards against a second start by a faulty entry.
+        cores = [net.add_agent('a'), net.add_agent('b')]
+        for port, core in enumerate(cores, 9001):
+            await net.add_endpoint(core, port)
+        message = submission(new_id(cores[0]), cores)
+        message.placements = [net.placement(0, core) for core in cores]
+        answer = await cores[0].handle(None, message)
+        assert answer.outcome == 'complete'
+        assert sum(net.starts.values()) == 1
+
+    async def test_two_new_placements_of_one_task(self, net):
+        core = net.add_agent('a')
+        for port, node in enumerate('bc', 9001):
+            await net.add_endpoint(net.add_agent(node), port)
+        net.places = ['b', 'c']
+        net.place_all = True
+        answer = await core.handle(None, submission(new_id(core), [core]))
+        assert answer.outcome == 'complete'
+        assert sum(net.starts.values()) == 1
+
     async def test_other_body_under_the_same_id_is_a_conflict(self, net):
         # Guards against an answer to a request that the caller did not make.
         core = net.add_agent('a')
