--- a/src/limpetlanding/entry/admission.py
+++ b/src/limpetlanding/entry/admission.py
@@ -17,13 +17,19 @@
     OutlierDetector,
     Plan,
     Refused,
+    SystemLoad,
     no_place_reason,
+    system_load,
 )
 from limpetlanding.wire import JobAnswer, Placement, TaskSpec
 
 AWAY_RETRY_MS = 1000
 """An endpoint announces itself every second."""
 
+SYSTEM_AGE_S = 0.02
+"""The sums over all agents are made once per load report interval, since
+they take time in proportion to the number of agents."""
+
 Placer = Callable[
     [Sequence[TaskSpec], Mapping[str, AgentLoad], float, Collection[str]], Plan
 ]
@@ -76,6 +82,8 @@
         may use now, from its contract.
     clock : callable
         Returns monotonic seconds.
+    entries : callable
+        Returns the number of live entries.
     rng : random.Random
         Spreads the retries of refused callers.
     """
@@ -86,13 +94,17 @@
         view: LoadView,
         share: Callable[[Contract], float],
         clock: Callable[[], float],
+        entries: Callable[[], int],
         rng: Random,
     ) -> None:
         self.parts = parts
         self.view = view
         self.share = share
         self.clock = clock
+        self.entries = entries
         self.rng = rng
+        self.system = SystemLoad(0, 0)
+        self.system_until: float = 0
         self.tickets: dict[str, Ticket] = {}
 
     def check(
@@ -140,7 +152,7 @@
             ),
             self._limits(contract),
             plan.predicted_ms,
-            _capacity(loads),
+            self._system(loads, now),
             now,
         )
         if isinstance(decision, Refused):
@@ -216,6 +228,12 @@
         detail = f'tasks.{task.index}.kind: {reason.replace("_", " ")}'
         return Refusal(reason, retry_ms, detail)
 
+    def _system(self, loads: Mapping[str, AgentLoad], now: float) -> SystemLoad:
+        if now >= self.system_until:
+            self.system = system_load(loads.values(), self.entries())
+            self.system_until = now + SYSTEM_AGE_S
+        return self.system
+
     def _limits(self, contract: Contract) -> Limits:
         limits = contract.limits
         share = self.share(contract)
@@ -247,13 +265,3 @@
                     item.run_ms / expected_ms,
                     now,
                 )
-
-
-def _capacity(loads: Mapping[str, AgentLoad]) -> float:
-    return sum(
-        endpoint.slots * endpoint.speed
-        for load in loads.values()
-        if load.usable
-        for endpoint in load.endpoints
-        if endpoint.serving
-    )
--- a/src/limpetlanding/entry/core.py
+++ b/src/limpetlanding/entry/core.py
@@ -68,12 +68,15 @@
         options: CoreOptions | None = None,
     ) -> None:
         options = options or CoreOptions()
+        self.hello = hello
         self.clock = clock
         self.contracts = contracts
         self.view = LoadView(parts.detector)
         self.mint = Mint(hello.failure_domain)
         self.router = Router(options.router, rng)
-        self.gate = Gate(parts, self.view, self._share, clock, rng)
+        self.gate = Gate(
+            parts, self.view, self._share, clock, self._live_entries, rng
+        )
         self.quota = Quota(
             ShareLedger(hello.node, hello.incarnation, clock()),
             self.gate.in_use,
@@ -167,6 +170,11 @@
             'events': dict(self.router.events),
         }
 
+    def _live_entries(self) -> int:
+        # The agents of a region are shared by the entries of that region.
+        peers = self.quota.entries.values()
+        return 1 + sum(x.peer.region == self.hello.region for x in peers)
+
     def _share(self, contract: Contract) -> int:
         return self.quota.share(contract)
 
