--- a/src/limpetlanding/entry/core.py
+++ b/src/limpetlanding/entry/core.py
@@ -81,6 +81,7 @@
             ShareLedger(hello.node, hello.incarnation, clock()),
             self.gate.in_use,
             clock,
+            contracts,
         )
         self.supply = IdSupply(
             self.mint, self.router.agents, self.view.may_coordinate, clock
--- a/src/limpetlanding/entry/quota.py
+++ b/src/limpetlanding/entry/quota.py
@@ -3,8 +3,9 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import suppress
+from itertools import repeat
 
-from limpetlanding.entry.auth import Contract
+from limpetlanding.entry.auth import Contract, Contracts
 from limpetlanding.entry.router import Joiner, Peer
 from limpetlanding.errors import LimpetlandingError
 from limpetlanding.policy import ShareLedger
@@ -18,6 +19,9 @@
 """Pause after nobody could lend; under overload every refusal would ask the
 peers otherwise."""
 
+MAX_ROUNDS = 16
+"""Requests of one exchange; a lender grants a part of its share at a time."""
+
 RETURN_S = 1
 
 
@@ -32,6 +36,8 @@
         Returns how many tasks of a customer run through this entry.
     clock : callable
         Returns monotonic seconds.
+    contracts : Contracts
+        Contracts in force.
     """
 
     def __init__(
@@ -39,8 +45,10 @@
         ledger: ShareLedger,
         in_use: Callable[[str], int],
         clock: Callable[[], float],
+        contracts: Contracts,
     ) -> None:
         self.ledger = ledger
+        self.contracts = contracts
         self.in_use = in_use
         self.clock = clock
         self.entries: dict[str, Peer] = {}
@@ -67,7 +75,14 @@
         return self.share(contract) > before
 
     def lend(self, channel: Peer, message: ShareRequest) -> ShareGrant:
-        """Lend what this entry does not need."""
+        """Lend what this entry does not need.
+
+        The limit may not have been used at this entry yet, so it is looked
+        up first.
+        """
+        contract = self.contracts.contract(message.customer)
+        if contract is not None:
+            self.share(contract)
         return self.ledger.on_request(
             channel.peer.node,
             message,
@@ -101,7 +116,7 @@
                     channel.notify(message)
 
     async def _borrow(self, customer: str, wanted: int) -> None:
-        for _ in self.ledger.members:
+        for _ in repeat(None, MAX_ROUNDS):
             asked_at = self.clock()
             wish = self.ledger.request(customer, wanted, asked_at)
             if wish is None:
