--- a/src/limpetlanding/entry/admission.py
+++ b/src/limpetlanding/entry/admission.py
@@ -1,5 +1,6 @@
 """Admission of submissions: from contracts to the decisions of policy."""
 
+from collections import Counter
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 from random import Random
@@ -105,6 +106,7 @@
         self.rng = rng
         self.system = SystemLoad(0, 0)
         self.system_until: float = 0
+        self.answers: Counter[str] = Counter()
         self.tickets: dict[str, Ticket] = {}
 
     def check(
@@ -168,6 +170,10 @@
             now,
         )
 
+    def answered(self, answer: JobAnswer) -> None:
+        """Count an answer to a submission, by outcome or reason."""
+        self.answers[answer.reason or answer.outcome or 'accepted'] += 1
+
     def in_use(self, customer: str) -> int:
         """Return how many tasks of a customer run through this entry."""
         return self.parts.admission.usage(customer).tasks
--- a/src/limpetlanding/entry/core.py
+++ b/src/limpetlanding/entry/core.py
@@ -203,8 +203,17 @@
         'incarnation': load.incarnation,
         'failure_domain': load.failure_domain,
         'queued_ms': load.queued_short_ms + load.queued_long_ms,
-        'slots': sum(x.slots for x in load.endpoints),
-        'busy': sum(x.busy for x in load.endpoints),
+        'endpoints': [
+            {
+                'endpoint': x.endpoint,
+                'kinds': x.kinds,
+                'slots': x.slots,
+                'busy': x.busy,
+                'speed': x.speed,
+                'serving': x.serving,
+            }
+            for x in load.endpoints
+        ],
         'suspect': load.suspect,
         'draining': load.draining,
         'ejected': load.ejected,
--- a/src/limpetlanding/entry/role.py
+++ b/src/limpetlanding/entry/role.py
@@ -13,6 +13,7 @@
 from limpetlanding.entry.auth import Contracts
 from limpetlanding.entry.core import EntryCore
 from limpetlanding.entry.http import CallerApi
+from limpetlanding.entry.metrics import render_metrics
 from limpetlanding.entry.operations import Operations
 from limpetlanding.entry.server import HttpServer
 from limpetlanding.errors import LimpetlandingError
@@ -261,11 +262,25 @@
                 for node, member in self.members.entries.items()
             },
             **self.core.status(),
+            'wire': self._wire_status(),
             **self.replica.status(),
         }
 
+    def _wire_status(self) -> dict[str, Any]:
+        counters = self.node.counters
+        return {
+            'messages_sent': dict(counters.sent.messages),
+            'bytes_sent': {
+                **counters.sent.byte_counts,
+                'hb': counters.sent.heartbeat_bytes,
+            },
+            **counters.events,
+        }
+
     def _metrics(self) -> str:
-        return ''
+        return render_metrics(
+            self.core, self.node.counters, self.http.in_flight
+        )
 
     def _plan_moves(
         self,
--- a/src/limpetlanding/entry/submissions.py
+++ b/src/limpetlanding/entry/submissions.py
@@ -127,9 +127,11 @@
             submission.body_digest,
             submission.wait,
         )
-        return await self.joiner.run(
+        answer = await self.joiner.run(
             key, lambda: self._decide(contract, submission)
         )
+        self.gate.answered(answer)
+        return answer
 
     async def status(
         self, contract: Contract, job_id: str, wait_ms: float
--- a/src/limpetlanding/entry/tests/test_role.py
+++ b/src/limpetlanding/entry/tests/test_role.py
@@ -68,10 +68,15 @@
                 caller = Caller(session, 'http://127.0.0.1:8001')
                 (job_id,) = await caller.mint()
                 response, body = await caller.submit(job_id)
-                ready, _ = await caller.call('GET', '/statusz')
+                ready, status = await caller.call('GET', '/statusz')
+                metrics = await session.get(f'{caller.base}/metrics')
+                text = await metrics.text()
         assert response.status == 200
         assert body['outcome'] == 'complete'
         assert ready.status == 200
+        assert status['agents'][0]['node'] == 'agent-1'
+        assert 'limpetlanding_entry_agents_usable 1' in text
+        assert 'answers_total{name="complete"} 1' in text
 
     async def test_entries_learn_of_each_other_and_split_the_limits(self):
         # Guards against an entry that goes on with the whole limit although
