Give up request bodies that stall; log refused and doubtful jobs

A sender that stalls held its request open without bound and would delay a planned stop. Jobs that do not complete are logged with their request id.

--- a/src/limpetlanding/entry/http.py
+++ b/src/limpetlanding/entry/http.py
@@ -1,5 +1,6 @@
 """HTTP API for callers."""
 
+import asyncio
 import math
 import re
 import secrets
@@ -27,6 +28,10 @@
 from limpetlanding.jobs import InvalidJobId, Outcome, Reason, parse_job_id
 from limpetlanding.wire import JobAnswer
 
+BODY_S = 10
+"""A body of 1 MiB takes under a second; a sender that stalls would hold the
+memory of its request and delay a planned stop."""
+
 REQUEST_ID = web.RequestKey('request_id', str)
 _REQUEST_ID_FORM = re.compile(r'[\x21-\x7e]{1,128}')
 _TRACEPARENT = re.compile(r'00-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}')
@@ -58,6 +63,7 @@
     403: 'Not allowed by the contract',
     404: 'Not found',
     405: 'Method not allowed',
+    408: 'Request too slow',
     409: 'The id belongs to a different job',
     413: 'Request too large',
     422: 'The job can never run',
@@ -192,7 +198,13 @@
             raise web.HTTPRequestEntityTooLarge(
                 self.max_body_bytes, request.content_length
             )
-        return await request.read()
+        try:
+            async with asyncio.timeout(BODY_S):
+                return await request.read()
+        except TimeoutError as error:
+            raise web.HTTPRequestTimeout(
+                text=f'the body did not arrive within {BODY_S} s'
+            ) from error
 
     async def _answered(
         self, request: web.Request, contract: Contract, answer: JobAnswer
--- a/src/limpetlanding/entry/submissions.py
+++ b/src/limpetlanding/entry/submissions.py
@@ -4,6 +4,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from loguru import logger
+
 from limpetlanding.entry.admission import Gate, Refusal, Ticket
 from limpetlanding.entry.api import Submission
 from limpetlanding.entry.auth import Contract
@@ -135,6 +137,7 @@
             key, lambda: self._decide(contract, submission)
         )
         self.gate.answered(answer)
+        _log(submission, answer)
         return answer
 
     async def status(
@@ -256,6 +259,20 @@
         self.gate.ended(ticket, answer)
 
 
+def _log(submission: Submission, answer: JobAnswer) -> None:
+    if answer.outcome == Outcome.COMPLETE or not answer.reason:
+        return
+    logger.bind(
+        request_id=submission.request_id, step=answer.step, peer=answer.peer
+    ).info(
+        'job {}: {} {} {}',
+        submission.job_id,
+        answer.outcome or 'undecided',
+        answer.reason,
+        answer.detail,
+    )
+
+
 def _no_coordinator() -> JobAnswer:
     # No id exists, so there is no submission that could ever run.
     return JobAnswer(
--- a/src/limpetlanding/entry/tests/test_http.py
+++ b/src/limpetlanding/entry/tests/test_http.py
@@ -444,6 +444,22 @@
             async with request as response:
                 assert response.status == 413
 
+    async def test_stalled_body_is_given_up(self):
+        # Guards against senders that hold requests open for ever.
+        async def stalled():
+            yield b'{'
+            await asyncio.sleep(3600)
+
+        async with entry() as (_, caller, _agent):
+            request = caller.session.post(
+                f'{caller.base}/v1/jobs',
+                data=stalled(),
+                headers={'Authorization': f'Bearer {KEY}'},
+            )
+            async with request as response:
+                assert response.status == 408
+            assert asyncio.get_running_loop().time() < 11
+
     @pytest.mark.parametrize('wait_ms', ['-1', 'x', '60001', '1e3', '٣'])
     async def test_wait_is_bounded(self, wait_ms):
         async with entry() as (_, caller, _agent):
