Compare the body when a refused submission meets a known job

An entry that refused a submission got the record of the id from the coordinator whatever its body was, so a caller could get the answer to another body. The entry now joins with the digest and without tasks, which the coordinator answers with the job or with a conflict and never starts.

--- a/src/limpetlanding/entry/admission.py
+++ b/src/limpetlanding/entry/admission.py
@@ -142,10 +142,7 @@
         if missing is not None:
             plan.undo()
             return self._no_place(missing, loads)
-        deadline_ms = min(
-            contract.answer_within_ms,
-            submission.deadline_ms or contract.answer_within_ms,
-        )
+        deadline_ms = deadline_of(contract, submission)
         decision = self.parts.admission.decide(
             AdmissionRequest(
                 contract.customer,
@@ -296,3 +293,9 @@
                     item.run_ms / expected_ms,
                     now,
                 )
+
+
+def deadline_of(contract: Contract, submission: Submission) -> float:
+    """Return the deadline in ms: that of the contract or a shorter one."""
+    longest_ms = contract.answer_within_ms
+    return min(longest_ms, submission.deadline_ms or longest_ms)
--- a/src/limpetlanding/entry/submissions.py
+++ b/src/limpetlanding/entry/submissions.py
@@ -6,7 +6,12 @@
 
 from loguru import logger
 
-from limpetlanding.entry.admission import Gate, Refusal, Ticket
+from limpetlanding.entry.admission import (
+    Gate,
+    Refusal,
+    Ticket,
+    deadline_of,
+)
 from limpetlanding.entry.api import Submission
 from limpetlanding.entry.auth import Contract
 from limpetlanding.entry.minting import Mint
@@ -20,6 +25,8 @@
     SubmitJob,
 )
 
+_KNOWN = frozenset(('', Outcome.COMPLETE, Outcome.FAILED))
+
 
 @dataclass(slots=True)
 class SubmissionOptions:
@@ -191,12 +198,34 @@
         if answer.outcome == Outcome.NOT_RUN:
             answer.detail = answer.detail or refusal.detail
             answer.step = answer.step or 'admit'
-        elif answer.outcome == '' and submission.wait and not answer.reason:
-            # The job is known and runs: the caller joins it.
-            wait_ms = contract.answer_within_ms
-            return await self.status(contract, submission.job_id or '', wait_ms)
+        elif answer.outcome in _KNOWN and not _is_doubt(answer):
+            return await self._join(contract, submission)
         return answer
 
+    async def _join(
+        self, contract: Contract, submission: Submission
+    ) -> JobAnswer:
+        """Join a job that the coordinator knows.
+
+        The message has no tasks, so it can start nothing; the coordinator
+        compares the digest of the body.
+        """
+        deadline_ms = deadline_of(contract, submission)
+        wait_s = deadline_ms / 1000 if submission.wait else 0
+        message = SubmitJob(
+            submission.job_id or '',
+            contract.customer,
+            submission.body_digest,
+            [],
+            [],
+            deadline_ms,
+            submission.repeatable,
+            wait_ms=wait_s * 1000,
+            request_id=submission.request_id,
+            traceparent=submission.traceparent,
+        )
+        return await self.router.ask(message, wait_s, len(submission.tasks))
+
     async def _run(self, submission: Submission, ticket: Ticket) -> JobAnswer:
         job_id = submission.job_id or ''
         wait_s = ticket.deadline_ms / 1000 + self.options.answer_margin_s
@@ -259,6 +288,11 @@
         self.gate.ended(ticket, answer)
 
 
+def _is_doubt(answer: JobAnswer) -> bool:
+    """Tell whether the answer says nothing about the job itself."""
+    return answer.outcome == '' and bool(answer.reason)
+
+
 def _log(submission: Submission, answer: JobAnswer) -> None:
     if answer.outcome == Outcome.COMPLETE or not answer.reason:
         return
--- a/src/limpetlanding/entry/tests/test_http.py
+++ b/src/limpetlanding/entry/tests/test_http.py
@@ -201,6 +201,18 @@
         assert response.status == 200
         assert body == direct
 
+    async def test_refused_other_body_is_a_conflict(self):
+        # Guards against the answer to another body under the same id.
+        async with entry() as (core, caller, agent):
+            (job_id,) = await caller.mint()
+            await caller.submit(job_id, 1)
+            core.contracts.by_customer['offcut'].limits = FakeLimits(0, 0)
+            same, _ = await caller.submit(job_id, 1)
+            other, body = await caller.submit(job_id, 2)
+        assert (same.status, other.status) == (200, 409)
+        assert body['outcome'] is None
+        assert agent.started == {(job_id, 0): 1}
+
     async def test_unrecorded_refusal_is_not_told_as_not_run(self):
         async with entry() as (core, caller, agent):
             (job_id,) = await caller.mint()
