--- a/src/limpetlanding/entry/core.py
+++ b/src/limpetlanding/entry/core.py
@@ -68,16 +68,20 @@
         options: CoreOptions | None = None,
     ) -> None:
         options = options or CoreOptions()
+        self.hello = hello
         self.clock = clock
         self.contracts = contracts
         self.view = LoadView(parts.detector)
         self.mint = Mint(hello.failure_domain)
         self.router = Router(options.router, rng)
-        self.gate = Gate(parts, self.view, self._share, clock, rng)
+        self.gate = Gate(
+            parts, self.view, self._share, clock, self._live_entries, rng
+        )
         self.quota = Quota(
             ShareLedger(hello.node, hello.incarnation, clock()),
             self.gate.in_use,
             clock,
+            contracts,
         )
         self.supply = IdSupply(
             self.mint, self.router.agents, self.view.may_coordinate, clock
@@ -167,6 +171,11 @@
             'events': dict(self.router.events),
         }
 
+    def _live_entries(self) -> int:
+        # The agents of a region are shared by the entries of that region.
+        peers = self.quota.entries.values()
+        return 1 + sum(x.peer.region == self.hello.region for x in peers)
+
     def _share(self, contract: Contract) -> int:
         return self.quota.share(contract)
 
@@ -194,8 +203,17 @@
         'incarnation': load.incarnation,
         'failure_domain': load.failure_domain,
         'queued_ms': load.queued_short_ms + load.queued_long_ms,
-        'slots': sum(x.slots for x in load.endpoints),
-        'busy': sum(x.busy for x in load.endpoints),
+        'endpoints': [
+            {
+                'endpoint': x.endpoint,
+                'kinds': x.kinds,
+                'slots': x.slots,
+                'busy': x.busy,
+                'speed': x.speed,
+                'serving': x.serving,
+            }
+            for x in load.endpoints
+        ],
         'suspect': load.suspect,
         'draining': load.draining,
         'ejected': load.ejected,
--- a/src/limpetlanding/entry/tests/test_http.py
+++ b/src/limpetlanding/entry/tests/test_http.py
@@ -201,6 +201,18 @@
         assert response.status == 200
         assert body == direct
 
+    async def test_refused_other_body_is_a_conflict(self):
+        # Guards against the answer to another body under the same id.
+        async with entry() as (core, caller, agent):
+            (job_id,) = await caller.mint()
+            await caller.submit(job_id, 1)
+            core.contracts.by_customer['offcut'].limits = FakeLimits(0, 0)
+            same, _ = await caller.submit(job_id, 1)
+            other, body = await caller.submit(job_id, 2)
+        assert (same.status, other.status) == (200, 409)
+        assert body['outcome'] is None
+        assert agent.started == {(job_id, 0): 1}
+
     async def test_unrecorded_refusal_is_not_told_as_not_run(self):
         async with entry() as (core, caller, agent):
             (job_id,) = await caller.mint()
@@ -329,7 +341,7 @@
 
     async def test_key_index_that_is_behind_does_not_admit(self):
         async with entry() as (core, caller, _):
-            core.contracts.customer_of_key = lambda _: 'offcut'
+            core.contracts.customer_of = lambda _: 'offcut'
             core.contracts.by_customer['offcut'].keys = []
             response, _ = await caller.call('POST', '/v1/ids', {})
         assert response.status == 401
@@ -444,6 +456,22 @@
             async with request as response:
                 assert response.status == 413
 
+    async def test_stalled_body_is_given_up(self):
+        # Guards against senders that hold requests open for ever.
+        async def stalled():
+            yield b'{'
+            await asyncio.sleep(3600)
+
+        async with entry() as (_, caller, _agent):
+            request = caller.session.post(
+                f'{caller.base}/v1/jobs',
+                data=stalled(),
+                headers={'Authorization': f'Bearer {KEY}'},
+            )
+            async with request as response:
+                assert response.status == 408
+            assert asyncio.get_running_loop().time() < 11
+
     @pytest.mark.parametrize('wait_ms', ['-1', 'x', '60001', '1e3', '٣'])
     async def test_wait_is_bounded(self, wait_ms):
         async with entry() as (_, caller, _agent):
