--- a/src/limpetlanding/bench/meters.py
+++ b/src/limpetlanding/bench/meters.py
@@ -17,6 +17,7 @@
 CONTROL_TAGS = frozenset(
     (
         'hello',
+        'hb',
         'load',
         'members',
         'want',
--- a/src/limpetlanding/bench/system.py
+++ b/src/limpetlanding/bench/system.py
@@ -22,7 +22,10 @@
 import aiohttp
 
 from limpetlanding.bench.deployments import ENTRIES, Deployment
+from limpetlanding.contracts import Contract, publish
+from limpetlanding.contracts.publish import Result
 from limpetlanding.errors import LimpetlandingError
+from limpetlanding.logservice import LogClient
 
 START_TIMEOUT_S = 60
 STOP_TIMEOUT_S = 20
@@ -322,9 +325,7 @@
 
 
 def _placeable(status: dict) -> int:
-    return sum(
-        len(agent.get('endpoints', ())) for agent in status.get('agents', ())
-    )
+    return sum(agent['slots'] > 0 for agent in status.get('agents', ()))
 
 
 async def _is_ok(url: str) -> bool:
@@ -340,43 +341,31 @@
 
 async def _publish_contracts(system: System, peak_share: float) -> None:
     url = f'http://{_HOST}:{system.ports["log"]}'
-    for customer in system.deployment.customers:
-        key = f'key-of-{customer}'
-        system.keys[customer] = key
-        contract = {
-            'customer': customer,
-            'keys': [sha256(key.encode()).hexdigest()],
-            'limits': {'tasks_at_once': 2000, 'tasks_per_second': 5000},
-            'answer_within_ms': 30_000,
-            'may_refuse': ['overload', 'deadline'],
-            'kinds': ['*'],
-            'peak_share': peak_share,
-            'max_task_size': 1_000_000,
-        }
-        path = system.folder / f'{customer}.contract.json'
-        path.write_text(json.dumps(contract, indent=2))
-        await _run_verb(
-            'contract', 'publish', str(path), f'--log={url}', '--author=bench'
-        )
-
-
-async def _run_verb(*arguments: str) -> None:
-    child = await asyncio.create_subprocess_exec(
-        sys.executable,
-        '-m',
-        'limpetlanding',
-        *arguments,
-        stdin=asyncio.subprocess.DEVNULL,
-        stdout=asyncio.subprocess.PIPE,
-        stderr=asyncio.subprocess.STDOUT,
+    async with LogClient(url, 'contracts') as log:
+        for customer in system.deployment.customers:
+            key = f'key-of-{customer}'
+            system.keys[customer] = key
+            contract = _contract(customer, key, peak_share)
+            published = await publish(log, contract, 'bench')
+            if published.result != Result.ACCEPTED:
+                raise LimpetlandingError(
+                    f'contract not accepted: {published}',
+                    step='publish',
+                    peer=customer,
+                )
+
+
+def _contract(customer: str, key: str, peak_share: float) -> Contract:
+    return Contract(
+        customer=customer,
+        keys=[sha256(key.encode()).hexdigest()],
+        limits={'tasks_at_once': 2000, 'tasks_per_second': 5000},
+        answer_within_ms=30_000,
+        may_refuse=['overload', 'deadline'],
+        kinds=['*'],
+        peak_share=peak_share,
+        max_task_size=1_000_000,
     )
-    output, _ = await child.communicate()
-    if child.returncode != 0:
-        raise LimpetlandingError(
-            output.decode(errors='replace').strip(),
-            step=' '.join(arguments[:2]),
-            peer=arguments[-1],
-        )
 
 
 async def _stop_all(system: System) -> None:
