--- a/src/limpetlanding/cli/main.py
+++ b/src/limpetlanding/cli/main.py
@@ -20,11 +20,11 @@
 
 def entry(settings: str) -> None:
     """Run an entry with the settings file SETTINGS."""
-    from limpetlanding.config import ConfigReplica
+    from limpetlanding.config import Replica
     from limpetlanding.entry.role import run_entry
 
     async def run(checked: Settings) -> None:
-        await run_entry(checked, ConfigReplica(checked))
+        await run_entry(checked, Replica(checked))
 
     asyncio.run(run(_settings_for('entry', settings)))
 
@@ -32,10 +32,10 @@
 def agent(settings: str) -> None:
     """Run an agent with the settings file SETTINGS."""
     from limpetlanding.agent.role import run_agent
-    from limpetlanding.config import ConfigReplica
+    from limpetlanding.config import Replica
 
     async def run(checked: Settings) -> None:
-        await run_agent(checked, ConfigReplica(checked))
+        await run_agent(checked, Replica(checked))
 
     asyncio.run(run(_settings_for('agent', settings)))
 
--- a/src/limpetlanding/config/replica.py
+++ b/src/limpetlanding/config/replica.py
@@ -1,9 +1,7 @@
-"""Configuration of one process: store, exchange with peers, log reader."""
+"""Replica of the configuration as the roles use it."""
 
 import asyncio
-import time
 from collections.abc import Callable
-from random import Random
 from typing import Any
 
 from limpetlanding.config.reader import ConfigReader
@@ -15,65 +13,44 @@
 from limpetlanding.wire import Channel, ConfigWanted
 
 
-class ConfigReplica:
-    """What a role needs of the configuration.
+class Replica:
+    """Store, replication and, at an entry, the reading of the log.
 
     Parameters
     ----------
     settings : Settings
-        Settings of the process. Without ``log`` it learns from peers only.
-    wall : callable
-        Wall clock in seconds since 1970, which times restatements.
-    rng : Random, optional
-        Source of the spread of requests.
-
-    See Also
-    --------
-    ConfigStore : Contracts in force.
-    Replication : Exchange with peers.
-    ConfigReader : Reading of the log.
+        Settings of the process; without ``log`` it only pulls from peers.
     """
 
-    def __init__(
-        self,
-        settings: Settings,
-        wall: Callable[[], float] = time.time,
-        rng: Random | None = None,
-    ) -> None:
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
         self.store = ConfigStore()
-        self.replication = Replication(self.store, rng=rng)
-        self.heartbeat = self.replication.on_heartbeat
-        self.status = self.replication.status
-        self.contract = self.store.contract
-        self.customer_of_key = self.store.customer_of
-        self.reader: ConfigReader | None = None
-        if settings.log is not None:
-            self.reader = ConfigReader(
-                self.store,
-                LogClient(
-                    settings.log.url,
-                    settings.log.stream,
-                    settings.log.timeout_ms,
-                    rng,
-                ),
-                settings.node,
-                settings.log.retention_s,
-                wall,
-                rng,
-            )
+        self.replication = Replication(self.store)
+
+    def contract(self, customer: str) -> Contract | None:
+        """Return the contract in force for a customer."""
+        return self.store.contract(customer)
 
-    def contracts(self) -> dict[str, Contract]:
-        """Return the contracts in force by customer."""
-        return {name: item.contract for name, item in self.store.stored.items()}
+    def customer_of_key(self, key_hash: str) -> str | None:
+        """Return the customer whose contract lists this key hash."""
+        return self.store.customer_of(key_hash)
 
     def digest(self) -> int:
         """Return the digest over all versions, for heartbeats."""
         return self.store.digest
 
     def loaded(self) -> bool:
-        """Tell whether the log or a peer has answered."""
+        """Tell whether any configuration is known."""
         return self.store.informed
 
+    def status(self) -> dict[str, Any]:
+        """Return what ``/statusz`` tells of the configuration."""
+        return dict(self.replication.status())
+
+    def heartbeat(self, channel: Channel, digest: int) -> None:
+        """Compare a peer's digest and fetch what is missing."""
+        self.replication.on_heartbeat(channel, digest)
+
     async def handle(self, channel: Channel, message: Any) -> Any:
         """Serve a message of the configuration exchange."""
         if isinstance(message, ConfigWanted):
@@ -81,19 +58,28 @@
         return None
 
     async def run(self, reads_log: Callable[[], bool]) -> None:
-        """Read the log while `reads_log` holds, until cancelled.
+        """Keep the replica current until cancelled.
 
         Parameters
         ----------
         reads_log : callable
-            Whether this process is one of the readers now.
+            Whether this entry is one of those that read the log now.
         """
+        log = self.settings.log
         try:
-            if self.reader is None:
+            if log is None:
                 await asyncio.Event().wait()
             else:
-                await self.reader.run(reads_log)
+                await self._read(reads_log)
         finally:
             await self.replication.stop()
-            if self.reader is not None:
-                await self.reader.log.close()
+
+    async def _read(self, reads_log: Callable[[], bool]) -> None:
+        settings = self.settings.log
+        async with LogClient(
+            settings.url, settings.stream, settings.timeout_ms
+        ) as log:
+            reader = ConfigReader(
+                self.store, log, self.settings.node, settings.retention_s
+            )
+            await reader.run(reads_log)
--- a/src/limpetlanding/config/tests/measure_spread.py
+++ b/src/limpetlanding/config/tests/measure_spread.py
@@ -78,7 +78,7 @@
     """Measure one size of system with one way of asking."""
     fleet = Fleet()
     for name in ENTRIES:
-        await fleet.entry(name, reads=False)
+        await fleet.entry(name, reads=False, vectors=vectors)
     for number in range(CUSTOMERS):
         change(fleet, f'customer-{number:03}', 1)
     for number in range(replicas):
