--- a/src/limpetlanding/cli/main.py
+++ b/src/limpetlanding/cli/main.py
@@ -40,9 +40,17 @@
     asyncio.run(run(_settings_for('agent', settings)))
 
 
-def check_settings(file: str) -> str:
-    """Check a settings file without starting anything."""
+def check_settings(file: str, *, json: bool = False) -> str:
+    """Check a settings file without starting anything.
+
+    Parameters
+    ----------
+    json : bool
+        Print the settings with all defaults as JSON.
+    """
     settings = load_settings(file)
+    if json:
+        return settings.model_dump_json(indent=2)
     return f'{file}: valid settings of {settings.role} {settings.node}'
 
 
@@ -58,6 +66,10 @@
     'submit': 'limpetlanding.cli.caller:submit',
     'status-job': 'limpetlanding.cli.caller:status_job',
     'cancel': 'limpetlanding.cli.caller:cancel',
+    'contract': 'limpetlanding.cli.contracts:VERBS',
+    'status': 'limpetlanding.cli.operator:status',
+    'drain': 'limpetlanding.cli.operator:drain',
+    'explain': 'limpetlanding.cli.operator:explain',
     'standin': 'limpetlanding.cli.standins:VERBS',
 }
 
