Test planned stops with contracts that refuse nothing

Cause: the load of both tests is above the capacity, and admission now refuses overload by the backlog; the answers not_run were true refusals, no cuts. Change: their contracts do not allow refusals, so every job must complete, as before.

--- a/src/limpetlanding/entry/tests/test_role.py
+++ b/src/limpetlanding/entry/tests/test_role.py
@@ -113,6 +113,9 @@
             aiohttp.ClientSession() as session,
         ):
             await until(lambda: not role._missing())
+            # The load is above the capacity; what is asked here is only
+            # whether the stop cuts a request.
+            role.replica.by_customer['offcut'].may_refuse = []
             caller = Caller(session, 'http://127.0.0.1:8001')
             ids = await caller.mint(40)
 
--- a/src/limpetlanding/entry/tests/test_system.py
+++ b/src/limpetlanding/entry/tests/test_system.py
@@ -148,6 +148,10 @@
     async def test_agent_stopped_under_load_loses_no_job(self):
         # Guards against a planned stop that leaves callers in doubt.
         async with running_system() as system:
+            # One agent less is an overload; what is asked here is only
+            # whether the stop loses a job.
+            for entry in system.entries:
+                entry.replica.by_customer['offcut'].may_refuse = []
             caller = system.callers[0]
             ids = await caller.mint(60)
 
