--- a/src/limpetlanding/entry/tests/test_system.py
+++ b/src/limpetlanding/entry/tests/test_system.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 import aiohttp
+import pytest
 from aiohttp import web
 
 from limpetlanding.agent.role import AgentRole
@@ -30,6 +31,16 @@
         role.stop_wanted.set()
         await self.tasks[id(role)]
 
+    async def crash(self, role):
+        """End a role without any of its farewells."""
+        node = role.node
+        node.server.close()
+        for channel in node.channels:
+            channel.fail('crashed')
+        task = self.tasks[id(role)]
+        task.cancel()
+        await asyncio.wait([task])
+
     def start(self, role):
         self.tasks[id(role)] = asyncio.create_task(role.run())
         return role
@@ -181,3 +192,57 @@
         assert accepted.status == 202
         assert (joined.status, body['outcome']) == (200, 'complete')
         assert set(system.starts.values()) == {1}
+
+    @pytest.mark.parametrize('crashed', [0, 2], ids=['executor', 'both'])
+    async def test_crashed_agent_leaves_no_caller_without_an_answer(
+        self, crashed
+    ):
+        # The entries take ids of agent 3, which is in their failure domain.
+        # Guards against callers that wait for a dead coordinator, and
+        # against jobs that are started again without proof.
+        async with running_system() as system:
+            one, two = system.callers
+            ids = await one.mint(30)
+            running = [
+                asyncio.create_task(one.submit(x, tasks=tasks(2, 500)))
+                for x in ids
+            ]
+            await asyncio.sleep(0.3)
+            await system.crash(system.agents[crashed])
+            answers = await asyncio.gather(*running)
+            again = await asyncio.gather(
+                *[two.submit(x, tasks=tasks(2, 500)) for x in ids]
+            )
+            (fresh,) = await one.mint()
+            served, _ = await one.submit(fresh, tasks=tasks(6))
+        outcomes = [body['outcome'] for _, body in answers]
+        assert set(outcomes) <= {'complete', 'may_have_run', 'failed'}
+        assert 'may_have_run' in outcomes
+        # An outcome that was told does not change for the better or worse,
+        # unless it was open.
+        for told, (_, body) in zip(outcomes, again, strict=True):
+            assert told in {body['outcome'], 'may_have_run'}
+        assert served.status == 200
+        assert set(system.starts.values()) == {1}
+
+    async def test_paused_agent_gets_no_new_jobs(self):
+        # Guards against placements on an agent that does not answer.
+        async with running_system() as system:
+            one, _ = system.callers
+            paused = system.agents[0]
+            name = paused.hello.node
+            for channel in paused.node.channels:
+                for link in channel.links:
+                    link.reader.feed_data = lambda _: None
+                    link.send = lambda *_: True
+            await asyncio.sleep(1.2)
+            core = system.entries[0].core
+            loads = core.view.loads(core.clock()).values()
+            assert [x.agent for x in loads if x.suspect] == [name]
+            ids = await one.mint(9)
+            answers = await asyncio.gather(
+                *[one.submit(x, tasks=tasks(4)) for x in ids]
+            )
+        used = {x['agent'] for _, body in answers for x in body['results']}
+        assert {r.status for r, _ in answers} == {200}
+        assert name not in used
