--- a/src/limpetlanding/agent/options.py
+++ b/src/limpetlanding/agent/options.py
@@ -20,7 +20,8 @@
     # How often a coordinator asks after tasks that run beyond the deadline.
     late_check_s: float = 2
     revoke_timeout_s: float = 1
-    place_timeout_s: float = 1
+    # Ledgers taken over would otherwise pile up: 2,200 restarts a day.
+    keep_taken_s: float = 3600
 
 
 @dataclass(slots=True)
