--- a/src/limpetlanding/entry/auth.py
+++ b/src/limpetlanding/entry/auth.py
@@ -38,7 +38,7 @@
     def contract(self, customer: str) -> Contract | None:
         """Return the contract in force for a customer."""
 
-    def customer_of(self, key_hash: str) -> str | None:
+    def customer_of_key(self, key_hash: str) -> str | None:
         """Return the customer whose contract lists this key hash."""
 
 
@@ -55,7 +55,7 @@
     if len(key) > _MAX_KEY_CHARS:
         return None
     key_hash = sha256(key.encode('utf-8', 'surrogateescape')).hexdigest()
-    customer = contracts.customer_of(key_hash)
+    customer = contracts.customer_of_key(key_hash)
     contract = None if customer is None else contracts.contract(customer)
     # The contract is asked as well, so that a key that it no longer lists is
     # refused even if the index of keys were behind.
--- a/src/limpetlanding/entry/role.py
+++ b/src/limpetlanding/entry/role.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from limpetlanding import config
 from limpetlanding.entry.admission import PolicyParts
 from limpetlanding.entry.auth import Contracts
 from limpetlanding.entry.core import EntryCore
@@ -295,22 +296,23 @@
         return plan_moves(placed, loads, domain, self.rng, now, budget)
 
 
-async def run_entry(settings: Settings, replica: Replica) -> None:
+async def run_entry(settings: Settings, replica: Replica | None = None) -> None:
     """Run an entry until SIGTERM, SIGINT or ``POST /drain``.
 
     Parameters
     ----------
     settings : Settings
         Settings of the process.
-    replica : Replica
-        Replica of the configuration.
+    replica : Replica, optional
+        Replica of the configuration; by default one that follows the log in
+        the settings and the peers.
 
     Raises
     ------
     OSError
         If an address cannot be used.
     """
-    role = EntryRole(settings, replica)
+    role = EntryRole(settings, replica or config.Replica(settings))
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, role.stop_wanted.set)
--- a/src/limpetlanding/entry/tests/fakes.py
+++ b/src/limpetlanding/entry/tests/fakes.py
@@ -72,7 +72,7 @@
     async def run(self, reads_log):
         await asyncio.Event().wait()
 
-    def customer_of(self, key_hash):
+    def customer_of_key(self, key_hash):
         for contract in self.by_customer.values():
             if key_hash in contract.keys:
                 return contract.customer
--- a/src/limpetlanding/entry/tests/test_http.py
+++ b/src/limpetlanding/entry/tests/test_http.py
@@ -341,7 +341,7 @@
 
     async def test_key_index_that_is_behind_does_not_admit(self):
         async with entry() as (core, caller, _):
-            core.contracts.customer_of = lambda _: 'offcut'
+            core.contracts.customer_of_key = lambda _: 'offcut'
             core.contracts.by_customer['offcut'].keys = []
             response, _ = await caller.call('POST', '/v1/ids', {})
         assert response.status == 401
