--- a/src/limpetlanding/config/tests/fleet.py
+++ b/src/limpetlanding/config/tests/fleet.py
@@ -12,6 +12,7 @@
 )
 from limpetlanding.logservice import LogClient
 from limpetlanding.wire import (
+    ConfigRecords,
     ConfigWanted,
     EntryInfo,
     Hello,
@@ -119,9 +120,11 @@
         address = f'10.0.0.1:{_port(name)}'
         store = ConfigStore()
         if not vectors:
-            # The alternative that is measured: always ask for everything.
+            # The alternative that is measured: always send everything.
             store.vector = dict
         replication = Replication(store, rng=self.rng())
+        if not vectors:
+            replication.answer = lambda wanted: answer_in_full(store, wanted)
 
         async def handle(channel, message):
             if isinstance(message, ConfigWanted):
@@ -161,6 +164,13 @@
         return self.members[name]
 
 
+def answer_in_full(store, wanted):
+    """Reply with the full state unless the digest shows that it is known."""
+    if wanted.digest == store.digest:
+        return ConfigRecords([], 0)
+    return ConfigRecords(store.lacking({}))
+
+
 def _port(name):
     number = int(name.lstrip('abcdefghijklmnopqrstuvwxyz'))
     return number + (1_000 if name.startswith('e') else 2_000)
