Let the naive policy run without deadlines

Cause: with the customer's deadline, tasks expired in the naive queues, so a version that is meant to refuse nothing refused 4% of the jobs at 80% load and had no finite slowdown to compare with. Change: the naive policy gives every job the longest time that a coordinator keeps a job. Callers still judge it by their own deadline.

--- a/src/limpetlanding/entry/admission.py
+++ b/src/limpetlanding/entry/admission.py
@@ -60,6 +60,9 @@
     moved: set[int] = field(default_factory=set)
 
 
+DeadlineRule = Callable[[Contract, Submission], float]
+
+
 @dataclass(slots=True)
 class PolicyParts:
     """State of the policies that one entry uses."""
@@ -68,6 +71,7 @@
     estimator: Estimator
     detector: OutlierDetector
     place: Placer
+    deadline: DeadlineRule = field(default_factory=lambda: deadline_of)
 
 
 class Gate:
@@ -142,7 +146,7 @@
         if missing is not None:
             plan.undo()
             return self._no_place(missing, loads)
-        deadline_ms = deadline_of(contract, submission)
+        deadline_ms = self.parts.deadline(contract, submission)
         decision = self.parts.admission.decide(
             AdmissionRequest(
                 contract.customer,
--- a/src/limpetlanding/entry/role.py
+++ b/src/limpetlanding/entry/role.py
@@ -9,8 +9,9 @@
 
 from loguru import logger
 
-from limpetlanding.entry.admission import PolicyParts
-from limpetlanding.entry.auth import Contracts
+from limpetlanding.entry.admission import PolicyParts, deadline_of
+from limpetlanding.entry.api import Submission
+from limpetlanding.entry.auth import Contract, Contracts
 from limpetlanding.entry.core import EntryCore
 from limpetlanding.entry.http import CallerApi
 from limpetlanding.entry.metrics import render_metrics
@@ -44,6 +45,8 @@
     TaskSpec,
 )
 
+NAIVE_DEADLINE_MS = 600_000
+
 MEMBERS_S = 2
 """Interval of the exchange of members, as a guard against lost messages."""
 
@@ -377,6 +380,11 @@
     return context
 
 
+def _no_deadline(_contract: Contract, _submission: Submission) -> float:
+    """Return the longest time of a job: the naive version refuses nothing."""
+    return NAIVE_DEADLINE_MS
+
+
 def _policy_parts(settings: Settings, rng: Random) -> PolicyParts:
     naive = settings.policy == 'naive'
     domain = settings.failure_domain
@@ -402,4 +410,5 @@
         Estimator(),
         OutlierDetector(),
         place_naively if naive else place_well,
+        _no_deadline if naive else deadline_of,
     )
