--- a/src/limpetlanding/bench/system.py
+++ b/src/limpetlanding/bench/system.py
@@ -325,7 +325,7 @@
 
 
 def _placeable(status: dict) -> int:
-    return sum(agent['slots'] > 0 for agent in status.get('agents', ()))
+    return sum(bool(x['endpoints']) for x in status.get('agents', ()))
 
 
 async def _is_ok(url: str) -> bool:
