Move what both roles do at the start into package startup

The roles of agent and entry held the same first frame, node options, TLS contexts, signal handlers and status fields.

--- a/src/limpetlanding/agent/role.py
+++ b/src/limpetlanding/agent/role.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import secrets
-import signal
-import ssl
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager, suppress
+from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -23,19 +21,23 @@
 from limpetlanding.agent.peers import Peers
 from limpetlanding.agent.records import RecordLimits
 from limpetlanding.agent.service import ServiceHooks, service
-from limpetlanding.jobs import new_incarnation
 from limpetlanding.lifecycle import Lifecycle, ProcessState
 from limpetlanding.policy import make_queue
 from limpetlanding.settings import Settings
+from limpetlanding.startup import (
+    identity_status,
+    new_hello,
+    node_options,
+    stop_on_signals,
+    wire_status,
+)
 from limpetlanding.wire import (
-    PROTOCOL_VERSION,
     Channel,
     CoordinatorMoved,
     Hello,
     LoadReport,
     Members,
     Node,
-    NodeOptions,
 )
 
 TICK_S = 0.25
@@ -115,12 +117,12 @@
 
     def __post_init__(self) -> None:
         settings = self.settings
-        self.hello = _hello(settings)
+        self.hello = new_hello(settings)
         self.lifecycle = Lifecycle(ProcessState, settings.node)
         self.node = Node(
             self.hello,
             self._handle,
-            _node_options(settings),
+            node_options(settings),
             self.connect,
             self.serve,
         )
@@ -283,32 +285,15 @@
 
     def _status(self) -> dict[str, Any]:
         return {
-            'role': 'agent',
-            'node': self.hello.node,
-            'incarnation': self.hello.incarnation,
-            'region': self.hello.region,
-            'failure_domain': self.hello.failure_domain,
-            'address': self.hello.address,
-            'http_address': self.hello.http_address,
-            'state': self.lifecycle.state,
-            'missing': self._missing(),
+            **identity_status(
+                self.hello, self.lifecycle.state, self._missing()
+            ),
             **self.core.status(),
             'events': event_counts(self.core),
-            'wire': self._wire_status(),
+            'wire': wire_status(self.node.counters),
             **self.replica.status(),
         }
 
-    def _wire_status(self) -> dict[str, Any]:
-        counters = self.node.counters
-        return {
-            'messages_sent': dict(counters.sent.messages),
-            'bytes_sent': {
-                **counters.sent.byte_counts,
-                'hb': counters.sent.heartbeat_bytes,
-            },
-            **counters.events,
-        }
-
 
 async def run_agent(settings: Settings, replica: Replica | None = None) -> None:
     """Run an agent until SIGTERM, SIGINT or ``POST /drain``.
@@ -326,7 +311,7 @@
         If an address cannot be used.
     """
     role = AgentRole(settings, replica or NoReplica())
-    with _stop_on_signals(role.stop_wanted.set):
+    with stop_on_signals(role.stop_wanted.set):
         await role.run()
 
 
@@ -346,55 +331,3 @@
         ),
         lambda: make_queue(settings.policy, slots=0),
     )
-
-
-@contextmanager
-def _stop_on_signals(stop: Callable[[], None]) -> Iterator[None]:
-    loop = asyncio.get_running_loop()
-    numbers = (signal.SIGTERM, signal.SIGINT)
-    for number in numbers:
-        loop.add_signal_handler(number, stop)
-    try:
-        yield
-    finally:
-        for number in numbers:
-            loop.remove_signal_handler(number)
-
-
-def _hello(settings: Settings) -> Hello:
-    host = settings.advertise_host or settings.listen.host
-    return Hello(
-        PROTOCOL_VERSION,
-        'agent',
-        settings.node,
-        new_incarnation(),
-        settings.failure_domain,
-        f'{host}:{settings.listen.port}',
-        '',
-        settings.region,
-    )
-
-
-def _node_options(settings: Settings) -> NodeOptions:
-    delay = settings.emulated_delay_ms
-    listen = f'{settings.listen.host}:{settings.listen.port}'
-    options = NodeOptions(listen=listen)
-    if delay.own or delay.cross:
-        options.emulated_delay_ms = lambda here, there: (
-            delay.own if here == there else delay.cross
-        )
-    if settings.tls is not None:
-        options.server_tls = _tls(settings, ssl.Purpose.CLIENT_AUTH)
-        options.client_tls = _tls(settings, ssl.Purpose.SERVER_AUTH)
-    return options
-
-
-def _tls(settings: Settings, purpose: ssl.Purpose) -> ssl.SSLContext:
-    context = ssl.create_default_context(
-        purpose, cafile=str(settings.tls.authority)
-    )
-    context.load_cert_chain(settings.tls.certificate, settings.tls.key)
-    # Peers are addressed by IP address and trusted by their authority.
-    context.check_hostname = False
-    context.verify_mode = ssl.CERT_REQUIRED
-    return context
--- a/src/limpetlanding/entry/role.py
+++ b/src/limpetlanding/entry/role.py
@@ -1,8 +1,6 @@
 """Role entry: one process that serves callers."""
 
 import asyncio
-import signal
-import ssl
 from collections.abc import Callable, Collection, Mapping, Sequence
 from random import Random
 from typing import Any, Protocol
@@ -19,7 +17,6 @@
 from limpetlanding.entry.operations import Operations
 from limpetlanding.entry.server import HttpServer
 from limpetlanding.errors import LimpetlandingError
-from limpetlanding.jobs import new_incarnation
 from limpetlanding.lifecycle import Lifecycle, ProcessState
 from limpetlanding.membership import MemberTable, entry_info
 from limpetlanding.policy import (
@@ -36,13 +33,17 @@
     plan_moves,
 )
 from limpetlanding.settings import Settings
+from limpetlanding.startup import (
+    identity_status,
+    new_hello,
+    node_options,
+    stop_on_signals,
+    wire_status,
+)
 from limpetlanding.wire import (
-    PROTOCOL_VERSION,
     Channel,
-    Hello,
     Members,
     Node,
-    NodeOptions,
     TaskSpec,
 )
 
@@ -102,7 +103,7 @@
         self.replica = replica
         self.loop = asyncio.get_running_loop()
         self.rng = Random()
-        self.hello = _hello(settings)
+        self.hello = new_hello(settings)
         self.started_at = self.loop.time()
         self.lifecycle = Lifecycle(ProcessState, settings.node)
         self.stop_wanted = asyncio.Event()
@@ -116,7 +117,7 @@
             self.loop.time,
         )
         self.node = Node(
-            self.hello, self._handle, _node_options(settings), connect, serve
+            self.hello, self._handle, node_options(settings), connect, serve
         )
         self.node.config_digest = replica.digest
         self.node.on_heartbeat = replica.heartbeat
@@ -250,15 +251,9 @@
 
     def _status(self) -> dict[str, Any]:
         return {
-            'role': 'entry',
-            'node': self.hello.node,
-            'incarnation': self.hello.incarnation,
-            'region': self.hello.region,
-            'failure_domain': self.hello.failure_domain,
-            'address': self.hello.address,
-            'http_address': self.hello.http_address,
-            'state': self.lifecycle.state,
-            'missing': self._missing(),
+            **identity_status(
+                self.hello, self.lifecycle.state, self._missing()
+            ),
             'uptime_s': self.loop.time() - self.started_at,
             'requests_in_flight': self.http.in_flight,
             'entries': {
@@ -266,21 +261,10 @@
                 for node, member in self.members.entries.items()
             },
             **self.core.status(),
-            'wire': self._wire_status(),
+            'wire': wire_status(self.node.counters),
             **self.replica.status(),
         }
 
-    def _wire_status(self) -> dict[str, Any]:
-        counters = self.node.counters
-        return {
-            'messages_sent': dict(counters.sent.messages),
-            'bytes_sent': {
-                **counters.sent.byte_counts,
-                'hb': counters.sent.heartbeat_bytes,
-            },
-            **counters.events,
-        }
-
     def _metrics(self) -> str:
         return render_metrics(
             self.core, self.node.counters, self.http.in_flight
@@ -316,14 +300,8 @@
         If an address cannot be used.
     """
     role = EntryRole(settings, replica or ConfigReplica(settings))
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, role.stop_wanted.set)
-    try:
+    with stop_on_signals(role.stop_wanted.set):
         await role.run()
-    finally:
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.remove_signal_handler(number)
 
 
 async def _first(
@@ -342,46 +320,6 @@
         raise LimpetlandingError('a background task ended', step='run')
 
 
-def _hello(settings: Settings) -> Hello:
-    host = settings.advertise_host or settings.listen.host
-    return Hello(
-        PROTOCOL_VERSION,
-        'entry',
-        settings.node,
-        new_incarnation(),
-        settings.failure_domain,
-        f'{host}:{settings.listen.port}',
-        '',
-        settings.region,
-    )
-
-
-def _node_options(settings: Settings) -> NodeOptions:
-    delay = settings.emulated_delay_ms
-    listen = f'{settings.listen.host}:{settings.listen.port}'
-    options = NodeOptions(listen=listen)
-    if delay.own or delay.cross:
-        options.emulated_delay_ms = lambda here, there: (
-            delay.own if here == there else delay.cross
-        )
-    if settings.tls is not None:
-        options.server_tls = _tls(settings, ssl.Purpose.CLIENT_AUTH)
-        options.client_tls = _tls(settings, ssl.Purpose.SERVER_AUTH)
-    return options
-
-
-def _tls(settings: Settings, purpose: ssl.Purpose) -> ssl.SSLContext:
-    """Return a context in which both sides show a certificate."""
-    context = ssl.create_default_context(
-        purpose, cafile=str(settings.tls.authority)
-    )
-    context.load_cert_chain(settings.tls.certificate, settings.tls.key)
-    # Peers are addressed by IP and known by the authority of the deployment.
-    context.check_hostname = False
-    context.verify_mode = ssl.CERT_REQUIRED
-    return context
-
-
 def _no_deadline(_contract: Contract, _submission: Submission) -> float:
     """Return the longest time of a job: the naive version refuses nothing."""
     return NAIVE_DEADLINE_MS
