Run the configuration replica in the agent and stop on failed tasks

The replica of package config pulls from the entries. An agent whose background task fails drains and exits with the error.

The test of a leaving endpoint missed an announcement that undoes the leave; it now submits a further job.

--- a/src/limpetlanding/agent/peers.py
+++ b/src/limpetlanding/agent/peers.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from limpetlanding.errors import LimpetlandingError, PeerLost
+from limpetlanding.errors import LimpetlandingError, PeerLost, ProtocolError
 from limpetlanding.wire import (
     Channel,
     Members,
@@ -105,9 +105,17 @@
         )
         for channel in entries:
             try:
-                return await channel.request(message, _PLACE_TIMEOUT_S)
+                reply = await channel.request(message, _PLACE_TIMEOUT_S)
             except LimpetlandingError as failure:
                 error = failure
+                continue
+            if isinstance(reply, Placements):
+                return reply
+            error = ProtocolError(
+                f'unexpected reply {type(reply).__name__}',
+                step='place',
+                peer=channel.peer.node,
+            )
         raise error
 
     async def successors(self, kinds: set[str]) -> list[Channel]:
--- a/src/limpetlanding/agent/role.py
+++ b/src/limpetlanding/agent/role.py
@@ -23,6 +23,8 @@
 from limpetlanding.agent.peers import Peers
 from limpetlanding.agent.records import RecordLimits
 from limpetlanding.agent.service import ServiceHooks, service
+from limpetlanding.config.replica import Replica as ConfigReplica
+from limpetlanding.errors import LimpetlandingError
 from limpetlanding.jobs import new_incarnation
 from limpetlanding.lifecycle import Lifecycle, ProcessState
 from limpetlanding.policy import make_queue
@@ -64,6 +66,9 @@
     async def handle(self, channel: Channel, message: Any) -> Any:
         """Serve a message of the configuration exchange."""
 
+    async def run(self, reads_log: Callable[[], bool]) -> None:
+        """Keep the replica current until cancelled."""
+
 
 class NoReplica:
     """Stands in where the agent is run without configuration."""
@@ -86,6 +91,10 @@
     async def handle(self, channel: Channel, message: Any) -> Any:
         """Ignore the message."""
 
+    async def run(self, reads_log: Callable[[], bool]) -> None:
+        """Wait until cancelled."""
+        await asyncio.Event().wait()
+
 
 @dataclass(slots=True)
 class AgentRole:
@@ -156,6 +165,7 @@
         work = [
             asyncio.create_task(self.reporter.run()),
             asyncio.create_task(self._tick()),
+            asyncio.create_task(self.replica.run(bool)),
         ]
         self.lifecycle.move(ProcessState.READY)
         logger.bind(step='start').info(
@@ -165,15 +175,36 @@
             self.hello.http_address,
         )
         try:
-            await self.stop_wanted.wait()
-            await self._drain()
+            await self._serve(work)
         finally:
-            for task in work:
-                task.cancel()
-            await self.node.stop()
-            await self.core.endpoints.close()
-            await runner.cleanup()
-            self.lifecycle.move(ProcessState.STOPPED)
+            await self._close(work, runner)
+
+    async def _serve(self, work: list[asyncio.Task[None]]) -> None:
+        """Wait for a stop, then drain.
+
+        A background task that ends is an error, raised after the drain: the
+        jobs and tasks held here do not depend on it.
+        """
+        stop = asyncio.create_task(self.stop_wanted.wait())
+        done, _ = await asyncio.wait(
+            (stop, *work), return_when=asyncio.FIRST_COMPLETED
+        )
+        stop.cancel()
+        await self._drain()
+        for task in done - {stop}:
+            task.result()
+            raise LimpetlandingError('a background task ended', step='run')
+
+    async def _close(
+        self, work: list[asyncio.Task[None]], runner: web.AppRunner
+    ) -> None:
+        for task in work:
+            task.cancel()
+        await asyncio.gather(*work, return_exceptions=True)
+        await self.node.stop()
+        await self.core.endpoints.close()
+        await runner.cleanup()
+        self.lifecycle.move(ProcessState.STOPPED)
 
     async def _start_http(self) -> web.AppRunner:
         hooks = ServiceHooks(
@@ -318,14 +349,15 @@
     settings : Settings
         Settings of the process.
     replica : Replica, optional
-        Replica of the configuration.
+        Replica of the configuration; by default one that pulls from the
+        entries.
 
     Raises
     ------
     OSError
         If an address cannot be used.
     """
-    role = AgentRole(settings, replica or NoReplica())
+    role = AgentRole(settings, replica or ConfigReplica(settings))
     with _stop_on_signals(role.stop_wanted.set):
         await role.run()
 
--- a/src/limpetlanding/agent/tests/test_endpoints.py
+++ b/src/limpetlanding/agent/tests/test_endpoints.py
@@ -56,6 +56,8 @@
         first.endpoints.announce(endpoint.announcement())
         answer = await job
         assert [x.agent for x in answer.results] == ['a', 'b']
+        later = await run_one(net, first)
+        assert later.results[0].agent == 'b'
         assert endpoint.calls == 1
 
     async def test_late_announcement_of_a_replaced_incarnation(self, net):
--- a/src/limpetlanding/agent/tests/test_role.py
+++ b/src/limpetlanding/agent/tests/test_role.py
@@ -251,6 +251,22 @@
         assert deployment.entry.of(LoadReport)[-1].draining
         assert (await get('/readyz'))[0] == 503
 
+    async def test_failed_background_task_stops_the_agent(self, deployment):
+        # Guards against an agent that runs on without its load reports.
+        role = await deployment.add_agent(1)
+        [job_id] = await deployment.new_ids('agent-1')
+        job = asyncio.create_task(
+            deployment.submit(
+                job_id, 'agent-1', ['agent-1'], [b'{"run_s":0.9}']
+            )
+        )
+        await asyncio.sleep(0.1)
+        role.reporter.report = None
+        role.reporter.notice()
+        with pytest.raises(TypeError):
+            await deployment.running.pop('agent-1')
+        assert (await job).outcome == 'complete'
+
     async def test_unreachable_entries_do_not_prevent_service(self, deployment):
         role = await deployment.add_agent(1)
         await deployment.entry.node.stop(drain=False)
