Close connections of replaced and lost endpoints

They stayed open for the life of the agent, one set per restart of an endpoint. POST /drain is accepted only from the host itself, as at entries.

--- a/src/limpetlanding/agent/calls.py
+++ b/src/limpetlanding/agent/calls.py
@@ -134,7 +134,7 @@
             whole = answer.body.get('task_id') == call.task_id
         finally:
             if whole:
-                connections.give_back(session)
+                await connections.give_back(session)
             else:
                 post.cancel()
                 await connections.discard(session)
--- a/src/limpetlanding/agent/connections.py
+++ b/src/limpetlanding/agent/connections.py
@@ -12,11 +12,15 @@
 
 @dataclass(slots=True)
 class Connections:
-    """At most `limit` connections to one endpoint."""
+    """At most `limit` connections to one endpoint.
+
+    Once `retired`, a connection is closed after its call.
+    """
 
     limit: int
     connect_timeout_s: float
     keepalive_s: float
+    retired: bool = False
     idle: list[aiohttp.ClientSession] = field(default_factory=list)
     used: set[aiohttp.ClientSession] = field(default_factory=set)
 
@@ -38,8 +42,11 @@
             await self.idle.pop(0).close()
         return session
 
-    def give_back(self, session: aiohttp.ClientSession) -> None:
+    async def give_back(self, session: aiohttp.ClientSession) -> None:
         """Keep a connection that delivered a whole answer."""
+        if self.retired:
+            await self.discard(session)
+            return
         self.used.discard(session)
         self.idle.append(session)
 
@@ -53,6 +60,11 @@
         while self.idle:
             await self.idle.pop().close()
 
+    async def retire(self) -> None:
+        """Close idle connections now and those in use after their calls."""
+        self.retired = True
+        await self.discard_idle()
+
     async def close(self) -> None:
         """Close all connections."""
         await self.discard_idle()
--- a/src/limpetlanding/agent/endpoints.py
+++ b/src/limpetlanding/agent/endpoints.py
@@ -110,6 +110,7 @@
     replaced: dict[tuple[str, str], float] = field(default_factory=dict)
     known_kinds: set[str] = field(default_factory=set)
     counters: Counter[str] = field(default_factory=Counter)
+    retiring: set[asyncio.Task[None]] = field(default_factory=set)
 
     def announce(self, announcement: Announcement) -> float:
         """Take an announcement and return the lease in seconds.
@@ -145,6 +146,7 @@
             idle = endpoint.busy == 0 and not endpoint.serves(now)
             if idle and now > endpoint.lease_until + self.options.lease_s:
                 del self.by_id[endpoint.announced.endpoint_id]
+                self._retire(endpoint)
         # Announcements do not arrive this late.
         old = [x for x, at in self.replaced.items() if now > at + 60]
         for identity in old:
@@ -218,6 +220,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
+        await asyncio.gather(*self.retiring)
         for endpoint in self.by_id.values():
             await endpoint.connections.close()
 
@@ -238,9 +241,15 @@
 
     def _replace(self, known: Endpoint, announcement: Announcement) -> None:
         known.current = False
+        self._retire(known)
         old = known.announced
         self.replaced[old.endpoint_id, old.incarnation] = self.clock()
         # A successor at another address may run beside one that is still
         # finishing its calls; at the same address the old one is gone.
         if old.address == announcement.address:
             known.superseded.set_result(None)
+
+    def _retire(self, endpoint: Endpoint) -> None:
+        task = asyncio.create_task(endpoint.connections.retire())
+        self.retiring.add(task)
+        task.add_done_callback(self.retiring.discard)
--- a/src/limpetlanding/agent/service.py
+++ b/src/limpetlanding/agent/service.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
+from ipaddress import ip_address
 from typing import Any
 
 from aiohttp import web
@@ -85,7 +86,10 @@
             text=hooks.metrics(), content_type='text/plain', charset='utf-8'
         )
 
-    async def drain(_: web.Request) -> web.Response:
+    async def drain(request: web.Request) -> web.Response:
+        # Announcements may come from other hosts; a stop may not.
+        if not _is_local(request.remote):
+            raise web.HTTPForbidden(text='only from the host itself')
         hooks.drain()
         return web.json_response({'state': 'draining'}, status=202)
 
@@ -101,3 +105,10 @@
         ]
     )
     return app
+
+
+def _is_local(remote: str | None) -> bool:
+    try:
+        return ip_address(remote or '').is_loopback
+    except ValueError:
+        return False
--- a/src/limpetlanding/agent/tests/test_endpoints.py
+++ b/src/limpetlanding/agent/tests/test_endpoints.py
@@ -238,6 +238,31 @@
         watching.cancel()
         assert most == 2
 
+    async def test_connections_of_a_replaced_endpoint_are_closed(self, net):
+        # Guards against one set of open sockets per restart of an endpoint.
+        core = net.add_agent('a')
+        old = await net.add_endpoint(core, 9001, endpoint_id='e')
+        connections = core.endpoints.by_id['e'].connections
+        await run_one(net, core)
+        assert len(connections.idle) == 1
+        job = asyncio.create_task(run_one(net, core))
+        await asyncio.sleep(0.05)
+        old.announcing.cancel()
+        await net.add_endpoint(core, 9002, endpoint_id='e', incarnation='e2')
+        assert (await job).outcome == 'complete'
+        assert not connections.idle
+        assert not connections.used
+
+    async def test_connections_of_a_lost_endpoint_are_closed(self, net):
+        core = net.add_agent('a')
+        endpoint = await net.add_endpoint(core, 9001)
+        connections = core.endpoints.by_id['endpoint-9001'].connections
+        await run_one(net, core)
+        endpoint.announcing.cancel()
+        await asyncio.sleep(10)
+        assert not core.endpoints.by_id
+        assert not connections.idle
+
     async def test_speed_is_learned(self, net):
         core = net.add_agent('a')
         await net.add_endpoint(core, 9001, run_s=0.05)
--- a/src/limpetlanding/agent/tests/test_role.py
+++ b/src/limpetlanding/agent/tests/test_role.py
@@ -243,6 +243,16 @@
         fresh = await deployment.submit(unused, 'agent-2', ['agent-2'])
         assert fresh.outcome == 'complete'
 
+    async def test_drain_by_http(self, deployment):
+        await deployment.add_agent(1)
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post('http://127.0.0.1:8001/drain') as response,
+        ):
+            assert response.status == 202
+        await deployment.running['agent-1']
+        assert deployment.roles['agent-1'].lifecycle.state == 'stopped'
+
     async def test_draining_is_reported_at_once(self, deployment):
         # Guards against placements at an agent that stops.
         role = await deployment.add_agent(1)
