--- a/src/limpetlanding/entry/admission.py
+++ b/src/limpetlanding/entry/admission.py
@@ -1,5 +1,6 @@
 """Admission of submissions: from contracts to the decisions of policy."""
 
+from collections import Counter
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 from random import Random
@@ -17,13 +18,20 @@
     OutlierDetector,
     Plan,
     Refused,
+    SystemLoad,
+    can_run,
     no_place_reason,
+    system_load,
 )
 from limpetlanding.wire import JobAnswer, Placement, TaskSpec
 
 AWAY_RETRY_MS = 1000
 """An endpoint announces itself every second."""
 
+SYSTEM_AGE_S = 0.02
+"""The sums over all agents are made once per load report interval, since
+they take time in proportion to the number of agents."""
+
 Placer = Callable[
     [Sequence[TaskSpec], Mapping[str, AgentLoad], float, Collection[str]], Plan
 ]
@@ -76,6 +84,8 @@
         may use now, from its contract.
     clock : callable
         Returns monotonic seconds.
+    entries : callable
+        Returns the number of live entries.
     rng : random.Random
         Spreads the retries of refused callers.
     """
@@ -86,13 +96,18 @@
         view: LoadView,
         share: Callable[[Contract], float],
         clock: Callable[[], float],
+        entries: Callable[[], int],
         rng: Random,
     ) -> None:
         self.parts = parts
         self.view = view
         self.share = share
         self.clock = clock
+        self.entries = entries
         self.rng = rng
+        self.system = SystemLoad(0, 0)
+        self.system_until: float = 0
+        self.answers: Counter[str] = Counter()
         self.tickets: dict[str, Ticket] = {}
 
     def check(
@@ -127,10 +142,7 @@
         if missing is not None:
             plan.undo()
             return self._no_place(missing, loads)
-        deadline_ms = min(
-            contract.answer_within_ms,
-            submission.deadline_ms or contract.answer_within_ms,
-        )
+        deadline_ms = deadline_of(contract, submission)
         decision = self.parts.admission.decide(
             AdmissionRequest(
                 contract.customer,
@@ -140,12 +152,13 @@
             ),
             self._limits(contract),
             plan.predicted_ms,
-            _capacity(loads),
+            self._system(loads, now),
             now,
         )
         if isinstance(decision, Refused):
             plan.undo()
             return Refusal(decision.reason, decision.retry_after_ms)
+        self._try_ejected(plan, specs, now)
         return Ticket(
             contract.customer,
             specs,
@@ -156,6 +169,10 @@
             now,
         )
 
+    def answered(self, answer: JobAnswer) -> None:
+        """Count an answer to a submission, by outcome or reason."""
+        self.answers[answer.reason or answer.outcome or 'accepted'] += 1
+
     def in_use(self, customer: str) -> int:
         """Return how many tasks of a customer run through this entry."""
         return self.parts.admission.usage(customer).tasks
@@ -173,9 +190,12 @@
                 (now - ticket.admitted_at) * 1000,
             )
             self._learn(ticket, answer, now)
-        elif answer.reason in {Reason.TASK_ERROR, Reason.AGENT_LOST}:
+        elif answer.reason == Reason.TASK_ERROR:
             failed = self.view.incarnation_of(answer.peer)
             self.parts.detector.failed(failed, ticket.customer, now)
+        elif answer.reason == Reason.AGENT_LOST:
+            silent = self.view.incarnation_of(answer.peer)
+            self.parts.detector.silent(silent, now)
 
     def place_again(
         self, tasks: Sequence[TaskSpec], avoid: Collection[str]
@@ -216,6 +236,32 @@
         detail = f'tasks.{task.index}.kind: {reason.replace("_", " ")}'
         return Refusal(reason, retry_ms, detail)
 
+    def _system(self, loads: Mapping[str, AgentLoad], now: float) -> SystemLoad:
+        if now >= self.system_until:
+            self.system = system_load(loads.values(), self.entries())
+            self.system_until = now + SYSTEM_AGE_S
+        return self.system
+
+    def _try_ejected(
+        self, plan: Plan, specs: Sequence[TaskSpec], now: float
+    ) -> None:
+        """Place the last task on an ejected agent that wants a trial."""
+        detector = self.parts.detector
+        spec = specs[-1]
+        for incarnation in self.view.ejected:
+            load = self.view.view[incarnation]
+            if not detector.trial_wanted(incarnation, now):
+                continue
+            load.ejected = False
+            possible = can_run(spec, load)
+            load.ejected = True
+            if possible:
+                detector.trial_started(incarnation, now)
+                plan.placements[-1] = Placement(
+                    spec.index, load.agent, incarnation, load.address
+                )
+                return
+
     def _limits(self, contract: Contract) -> Limits:
         limits = contract.limits
         share = self.share(contract)
@@ -249,11 +295,7 @@
                 )
 
 
-def _capacity(loads: Mapping[str, AgentLoad]) -> float:
-    return sum(
-        endpoint.slots * endpoint.speed
-        for load in loads.values()
-        if load.usable
-        for endpoint in load.endpoints
-        if endpoint.serving
-    )
+def deadline_of(contract: Contract, submission: Submission) -> float:
+    """Return the deadline in ms: that of the contract or a shorter one."""
+    longest_ms = contract.answer_within_ms
+    return min(longest_ms, submission.deadline_ms or longest_ms)
