Exchange shares through the ledger and test the limits across restarts

Entries tell the ledger of each other's incarnations and await the others after a start; an entry without its share is not ready. An exchange goes on to the next peer when one has nothing to lend.

--- a/src/limpetlanding/entry/core.py
+++ b/src/limpetlanding/entry/core.py
@@ -30,10 +30,22 @@
 
 @dataclass(slots=True)
 class CoreOptions:
-    """Options of the parts of an entry."""
+    """Options of the parts of an entry.
+
+    Parameters
+    ----------
+    router : RouterOptions
+        Options of the router.
+    submissions : SubmissionOptions
+        Options of the submissions.
+    await_peers : bool
+        Start without a share of the limits until the other entries have
+        answered or one lease has passed.
+    """
 
     router: RouterOptions = field(default_factory=RouterOptions)
     submissions: SubmissionOptions = field(default_factory=SubmissionOptions)
+    await_peers: bool = True
 
 
 class EntryCore:
@@ -78,7 +90,12 @@
             parts, self.view, self._share, clock, self._live_entries, rng
         )
         self.quota = Quota(
-            ShareLedger(hello.node, hello.incarnation, clock()),
+            ShareLedger(
+                hello.node,
+                hello.incarnation,
+                clock(),
+                await_peers=options.await_peers,
+            ),
             self.gate.in_use,
             clock,
             contracts,
@@ -115,12 +132,11 @@
 
     def entry_up(self, channel: Peer) -> None:
         """Exchange shares with another entry."""
-        self.quota.entries[channel.peer.node] = channel
+        self.quota.entry_up(channel)
 
     def entry_down(self, channel: Peer) -> None:
         """Stop asking another entry for shares."""
-        if self.quota.entries.get(channel.peer.node) is channel:
-            self.quota.entries.pop(channel.peer.node)
+        self.quota.entry_down(channel)
 
     async def handle(self, channel: Peer, message: Any) -> Any:
         """Serve one message of an agent or entry; return the reply."""
--- a/src/limpetlanding/entry/quota.py
+++ b/src/limpetlanding/entry/quota.py
@@ -74,6 +74,25 @@
         await self.joiner.run(customer, lambda: self._borrow(customer, wanted))
         return self.share(contract) > before
 
+    def entry_up(self, channel: Peer) -> None:
+        """Exchange shares with another entry, before it is sent anything."""
+        hello = channel.peer
+        self.ledger.peer_started(hello.node, hello.incarnation)
+        self.entries[hello.node] = channel
+
+    def entry_down(self, channel: Peer) -> None:
+        """Stop asking another entry for shares."""
+        if self.entries.get(channel.peer.node) is channel:
+            self.entries.pop(channel.peer.node)
+
+    def heard(self, channel: Peer) -> None:
+        """Note a message of another entry.
+
+        It was sent after the entry had learnt of this incarnation and had
+        dropped what a former one had lent to it.
+        """
+        self.ledger.peer_answered(channel.peer.node, self.clock())
+
     def lend(self, channel: Peer, message: ShareRequest) -> ShareGrant:
         """Lend what this entry does not need.
 
@@ -116,15 +135,20 @@
                     channel.notify(message)
 
     async def _borrow(self, customer: str, wanted: int) -> None:
+        refusals = 0
         for _ in repeat(None, MAX_ROUNDS):
             asked_at = self.clock()
             wish = self.ledger.request(customer, wanted, asked_at)
             if wish is None:
                 return
             grant = await self._ask(*wish)
-            if grant is None or grant.amount <= 0:
+            if grant is not None and grant.amount > 0:
+                refusals = 0
+                self.ledger.on_grant(wish[0], grant, asked_at)
+                continue
+            refusals += 1
+            if refusals >= len(self.ledger.members) - 1:
                 break
-            self.ledger.on_grant(wish[0], grant, asked_at)
         self.refused_until[customer] = self.clock() + REFUSED_PAUSE_S
 
     async def _ask(self, node: str, message: ShareRequest) -> ShareGrant | None:
--- a/src/limpetlanding/entry/role.py
+++ b/src/limpetlanding/entry/role.py
@@ -187,6 +187,9 @@
         if isinstance(message, Members):
             if self.members.merge(message, self.loop.time()):
                 self._dial_members()
+            if channel.peer.role == 'entry':
+                self._share_limits()
+                self.core.quota.heard(channel)
             return None
         reply = await self.core.handle(channel, message)
         if reply is None:
@@ -243,6 +246,8 @@
     def _missing(self) -> str:
         if not self.replica.loaded():
             return 'no configuration'
+        if not self.core.quota.ledger.ready(self.loop.time()):
+            return 'no share of the limits yet'
         waited_s = self.loop.time() - self.started_at
         if not self.core.view.watched and waited_s < AGENTS_WAIT_S:
             return 'no agent'
--- /dev/null
+++ b/src/limpetlanding/entry/tests/fleet.py
@@ -0,0 +1,148 @@
+"""Several entries that exchange shares, with restarts."""
+
+import asyncio
+from random import Random
+
+from limpetlanding.entry.admission import Ticket
+from limpetlanding.entry.api import Submission, SubmittedTask
+from limpetlanding.entry.tests.fakes import FakeAgent
+from limpetlanding.entry.tests.rig import connect, default_contracts, make_core
+from limpetlanding.errors import PeerLost
+from limpetlanding.wire import Hello, Members
+
+DELAY_S = 0.0015
+DOWN_S = 4
+LEASE_S = 5
+
+
+class EntryLink:
+    """What one entry sees of another one."""
+
+    def __init__(self, fleet, own, other):
+        self.fleet = fleet
+        self.own = own
+        self.other = other
+        incarnation = fleet.incarnation(other)
+        self.peer = Hello(1, 'entry', other, incarnation, 'sialkot', other, '')
+        self.closed = asyncio.Event()
+        self.suspect = False
+
+    async def request(self, message, timeout_s):
+        await asyncio.sleep(DELAY_S)
+        target = self._target('request')
+        back = EntryLink(self.fleet, self.other, self.own)
+        target.quota.heard(back)
+        reply = await target.handle(back, message)
+        await asyncio.sleep(DELAY_S)
+        return reply
+
+    def notify(self, message):
+        task = asyncio.ensure_future(self.request(message, 1))
+        task.add_done_callback(lambda x: x.exception())
+
+    def _target(self, step):
+        core = self.fleet.cores.get(self.other)
+        if core is None:
+            raise PeerLost('gone', step=step, peer=self.other)
+        return core
+
+
+class Fleet:
+    """Entries with a common customer, and the tasks admitted by them.
+
+    Tasks outlive the entry that admitted them, as in the real system.
+    """
+
+    def __init__(self, count=3, limit=90, seed=1):
+        self.loop = asyncio.get_running_loop()
+        self.rng = Random(seed)
+        self.names = [f'entry-{number}' for number in range(1, count + 1)]
+        self.limit = limit
+        self.cores = {}
+        self.starts = {}
+        self.down_at = {}
+        self.running = 0
+        self.most_running = 0
+        self.loops = {}
+        for name in self.names:
+            self.start(name)
+
+    def contracts(self):
+        contracts = default_contracts()
+        contract = contracts.by_customer['offcut']
+        contract.limits.tasks_at_once = self.limit
+        contract.limits.tasks_per_second = 1e6
+        return contracts
+
+    def start(self, name):
+        self.starts[name] = self.starts.get(name, 0) + 1
+        core = make_core(
+            self.contracts(), name, 'sialkot', True, self.incarnation(name)
+        )
+        connect(core, *[FakeAgent(x) for x in range(1, 30)])
+        self.cores[name] = core
+        self.down_at.pop(name, None)
+        for other in self.names:
+            if other in self.cores and other != name:
+                core.entry_up(EntryLink(self, name, other))
+                self.cores[other].entry_up(EntryLink(self, other, name))
+        for other in core.quota.entries:
+            # The exchange of members follows the link at once.
+            core.quota.entries[other].notify(Members([]))
+            self.cores[other].quota.entries[name].notify(Members([]))
+        self.loops[name] = asyncio.ensure_future(core.quota.run())
+        self.set_members()
+
+    def incarnation(self, name):
+        return f'{name}-{self.starts.get(name, 0)}'
+
+    def kill(self, name):
+        self.cores.pop(name)
+        self.loops.pop(name).cancel()
+        self.down_at[name] = self.loop.time()
+
+    def set_members(self):
+        """Tell the entries who shares, as `MemberTable.sharing` would."""
+        now = self.loop.time()
+        sharing = [
+            name
+            for name in self.names
+            if name in self.cores
+            or now - self.down_at.get(name, now) <= LEASE_S
+        ]
+        for core in self.cores.values():
+            core.quota.ledger.set_members(sharing, now)
+
+    async def offer(self, name, run_s=0.5, count=1):
+        """Offer one job to an entry; tell whether it is admitted."""
+        core = self.cores.get(name)
+        if core is None:
+            return False
+        contract = core.contracts.contract('offcut')
+        tasks = [SubmittedTask('cut', b'1', 1, 100)] * count
+        submission = Submission('id', tasks)
+        ticket = core.gate.admit(contract, submission)
+        if not isinstance(ticket, Ticket):
+            wanted = core.gate.in_use('offcut') + count
+            if await core.quota.borrow(contract, wanted):
+                ticket = core.gate.admit(contract, submission)
+        if not isinstance(ticket, Ticket):
+            return False
+        self.running += count
+        self.most_running = max(self.most_running, self.running)
+        self.loop.call_later(run_s, self._ended, core, ticket, count)
+        return True
+
+    def shares(self):
+        return {
+            name: core.quota.share(core.contracts.contract('offcut'))
+            for name, core in self.cores.items()
+        }
+
+    def stop(self):
+        for task in self.loops.values():
+            task.cancel()
+
+    def _ended(self, core, ticket, count):
+        self.running -= count
+        core.gate.ended(ticket, None)
--- a/src/limpetlanding/entry/tests/rig.py
+++ b/src/limpetlanding/entry/tests/rig.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from limpetlanding.entry.admission import PolicyParts
-from limpetlanding.entry.core import EntryCore
+from limpetlanding.entry.core import CoreOptions, EntryCore
 from limpetlanding.entry.http import CallerApi
 from limpetlanding.entry.tests.fakes import (
     KEY,
@@ -46,7 +46,13 @@
     return LoadReport(**(fields | changes))
 
 
-def make_core(contracts=None, node='entry-1', domain='sialkot', options=None):
+def make_core(
+    contracts=None,
+    node='entry-1',
+    domain='sialkot',
+    await_peers=False,
+    incarnation='',
+):
     loop = asyncio.get_running_loop()
     rng = Random(7)
 
@@ -54,13 +60,13 @@
         return place(tasks, loads, domain, rng, now, avoid)
 
     return EntryCore(
-        Hello(1, 'entry', node, node.rjust(16, '0'), domain, f'{node}:1', ''),
+        Hello(1, 'entry', node, incarnation or node, domain, f'{node}:1', ''),
         contracts or default_contracts(),
         PolicyParts(Admission(), Estimator(), OutlierDetector(), placer),
         lambda placed, loads, now, budget: [],
         rng,
         loop.time,
-        options,
+        CoreOptions(await_peers=await_peers),
     )
 
 
--- a/src/limpetlanding/entry/tests/test_system.py
+++ b/src/limpetlanding/entry/tests/test_system.py
@@ -109,6 +109,8 @@
 
 
 def _serving(entry, agents):
+    if entry._missing():
+        return False
     loads = entry.core.view.loads(entry.core.clock())
     return sum('cut' in load.by_kind for load in loads.values()) == agents
 
