--- a/src/limpetlanding/bench/experiments.py
+++ b/src/limpetlanding/bench/experiments.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
@@ -10,7 +11,7 @@
 
 from limpetlanding.bench import figures as fig
 from limpetlanding.bench.caller import Callers, Offer
-from limpetlanding.bench.deployments import Deployment
+from limpetlanding.bench.deployments import ENDPOINTS, Deployment
 from limpetlanding.bench.faults import FAULTS
 from limpetlanding.bench.meters import Reading, read_meters
 from limpetlanding.bench.system import System, running_system
@@ -200,6 +201,7 @@
         lost=fig.lost(offers),
         fault='+'.join(plan.faults) or None,
         capacity_left=run.capacity_left,
+        reasons=dict(Counter(offer.reason for offer in offers if offer.reason)),
     )
 
 
@@ -256,10 +258,11 @@
     seconds: float,
     load: float | None,
     mix: Mix,
+    workers: int = ENDPOINTS,
 ) -> Plan:
     """Draw speeds and arrivals; a `load` of None draws the crest."""
     rng = random.Random(seed)
-    speeds = tuple(draw_speeds(rng))
+    speeds = tuple(draw_speeds(rng, workers))
     plan = Plan(experiment, deployment, seed, seconds, load, mix, speeds, ())
     if load is None:
         rate = crest_rate_at(plan)
--- a/src/limpetlanding/bench/main.py
+++ b/src/limpetlanding/bench/main.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import sys
+from dataclasses import asdict
 
 import fire
 from rich.console import Console
@@ -11,6 +12,7 @@
 from limpetlanding.bench.deployments import DEPLOYMENTS
 from limpetlanding.bench.experiments import PLANS, POLICIES, measure
 from limpetlanding.bench.figures import Figures
+from limpetlanding.bench.overhead import Point, Slope, measure_overhead
 
 USAGE_EXIT = 2
 _COLUMNS = (
@@ -64,8 +66,11 @@
     """
     if deployment not in DEPLOYMENTS:
         _usage(f'deployment is one of {", ".join(DEPLOYMENTS)}')
+    if experiment == 'overhead':
+        _overhead(deployment, seed, seconds)
+        return
     if experiment not in PLANS:
-        _usage(f'experiment is one of {", ".join(PLANS)}')
+        _usage(f'experiment is one of overhead, {", ".join(PLANS)}')
     policies = POLICIES if policy == 'both' else (policy,)
     plans = PLANS[experiment](DEPLOYMENTS[deployment], seed, seconds)
     lines = []
@@ -84,6 +89,18 @@
     fire.Fire(bench, name='bench')
 
 
+def _overhead(deployment: str, seed: int, seconds: float) -> None:
+    def print_line(record: Point | Slope) -> None:
+        line = {'experiment': 'overhead', **asdict(record)}
+        print(json.dumps(line), flush=True)
+
+    slopes = asyncio.run(
+        measure_overhead(DEPLOYMENTS[deployment], seed, seconds, print_line)
+    )
+    for slope in slopes:
+        print_line(slope)
+
+
 def _print_json(figures: Figures) -> None:
     print(json.dumps(figures.as_dict()), flush=True)
 
--- a/src/limpetlanding/bench/system.py
+++ b/src/limpetlanding/bench/system.py
@@ -71,6 +71,22 @@
         return sum(count > 1 for count in self.counts.values())
 
 
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """Numbers that the `overhead` experiment varies.
+
+    Parameters
+    ----------
+    entries : int
+        Number of entries.
+    idle_customers : int
+        Customers with a contract that submit nothing.
+    """
+
+    entries: int = ENTRIES
+    idle_customers: int = 0
+
+
 @dataclass(slots=True)
 class System:
     """Handle of a running deployment."""
@@ -79,6 +95,7 @@
     policy: str
     folder: Path
     speeds: Sequence[float]
+    shape: Shape = Shape()
     processes: dict[str, Process] = field(default_factory=dict)
     starts: StartRecord = field(default_factory=StartRecord)
     keys: dict[str, str] = field(default_factory=dict)
@@ -97,7 +114,7 @@
         """Return base URLs of all entries, running or not."""
         return [
             f'http://{_HOST}:{self.ports[f"entry-{number}-http"]}'
-            for number in range(ENTRIES)
+            for number in range(self.shape.entries)
         ]
 
 
@@ -118,6 +135,7 @@
     speeds: Sequence[float],
     policy: str = 'limpetlanding',
     peak_share: float = 0.4,
+    shape: Shape | None = None,
 ) -> AsyncIterator[System]:
     """Run a whole deployment and stop it at the end.
 
@@ -127,6 +145,10 @@
         Speed of each endpoint; their number is the number of workers.
     policy : str
         ``limpetlanding`` or ``naive``, for all roles.
+    peak_share : float
+        Share of the capacity that each contract gives at a peak.
+    shape : Shape, optional
+        Numbers of entries and customers; those of today by default.
 
     Raises
     ------
@@ -138,14 +160,19 @@
         folder = stack.enter_context(
             tempfile.TemporaryDirectory(prefix='limpetlanding-')
         )
-        system = System(deployment, policy, Path(folder), speeds)
+        system = System(
+            deployment, policy, Path(folder), speeds, shape or Shape()
+        )
         stack.push_async_callback(_stop_all, system)
         _assign_ports(system)
         await start_log(system)
         await _wait_ready(system, 'log')
         await _publish_contracts(system, peak_share)
         await asyncio.gather(
-            *(start_entry(system, number) for number in range(ENTRIES)),
+            *(
+                start_entry(system, number)
+                for number in range(system.shape.entries)
+            ),
             *(start_agent(system, number) for number in range(len(speeds))),
             *(start_endpoint(system, number) for number in range(len(speeds))),
         )
@@ -223,8 +250,8 @@
     workers = range(len(system.speeds))
     names = [
         'log',
-        *(f'entry-{number}-wire' for number in range(ENTRIES)),
-        *(f'entry-{number}-http' for number in range(ENTRIES)),
+        *(f'entry-{number}-wire' for number in range(system.shape.entries)),
+        *(f'entry-{number}-http' for number in range(system.shape.entries)),
         *(f'agent-{number}-wire' for number in workers),
         *(f'agent-{number}-http' for number in workers),
         *(f'endpoint-{number}' for number in workers),
@@ -236,7 +263,7 @@
     deployment = system.deployment
     entries = [
         f'{_HOST}:{system.ports[f"entry-{other}-wire"]}'
-        for other in range(ENTRIES)
+        for other in range(system.shape.entries)
     ]
     return {
         'role': role,
@@ -342,7 +369,8 @@
 async def _publish_contracts(system: System, peak_share: float) -> None:
     url = f'http://{_HOST}:{system.ports["log"]}'
     async with LogClient(url, 'contracts') as log:
-        for customer in system.deployment.customers:
+        idle = (f'idle-{n}' for n in range(system.shape.idle_customers))
+        for customer in (*system.deployment.customers, *idle):
             key = f'key-of-{customer}'
             system.keys[customer] = key
             contract = _contract(customer, key, peak_share)
