--- a/src/limpetlanding/bench/experiments.py
+++ b/src/limpetlanding/bench/experiments.py
@@ -36,6 +36,8 @@
 CREST_END = 2 / 3
 WARM_UP_S = 4
 FAULT_LOAD = 0.5
+WINDOW_S = 0.5
+CLEARED_WAIT_MS = 50
 FAULT_PAIRS = 3
 # Jobs that arrive later than this after a fault must be served as if only
 # the lost capacity were missing.
@@ -201,6 +203,7 @@
         lost=fig.lost(offers),
         fault='+'.join(plan.faults) or None,
         capacity_left=run.capacity_left,
+        backlog_cleared_s=_backlog_cleared_s(plan, offers, ideal),
         reasons=dict(Counter(offer.reason for offer in offers if offer.reason)),
     )
 
@@ -244,6 +247,32 @@
     return on_time / (end - begin)
 
 
+def _backlog_cleared_s(
+    plan: Plan, offers: Sequence[Offer], ideal: fig.Ideal
+) -> float | None:
+    """Return when short work waits no longer, in s after the crest's end.
+
+    That is the end of the first half second of arrivals whose median wait
+    is below `CLEARED_WAIT_MS`; None if there is none.
+    """
+    if plan.experiment != 'crest':
+        return None
+    _, end = plan.crest()
+    number = 0
+    while end + number * WINDOW_S < plan.seconds:
+        begin = end + number * WINDOW_S
+        number += 1
+        window = [
+            offer
+            for offer in offers
+            if begin <= offer.arrival.at_s < begin + WINDOW_S
+        ]
+        waits = fig.waits(window, ideal, short=True)
+        if waits and fig.percentile(waits, 0.5) < CLEARED_WAIT_MS:
+            return number * WINDOW_S
+    return None
+
+
 def _jobs_per_s(
     deployment: Deployment, mix: Mix, speeds: Sequence[float]
 ) -> float:
--- a/src/limpetlanding/bench/figures.py
+++ b/src/limpetlanding/bench/figures.py
@@ -40,6 +40,7 @@
     lost: int
     fault: str | None = None
     capacity_left: float | None = None
+    backlog_cleared_s: float | None = None
     reasons: dict[str, int] | None = None
 
     def as_dict(self) -> dict:
--- a/src/limpetlanding/bench/main.py
+++ b/src/limpetlanding/bench/main.py
@@ -38,6 +38,8 @@
     'lost',
     'fault',
     'capacity_left',
+    'backlog_cleared_s',
+    'reasons',
 )
 
 
