Do not refuse short work for a backlog of long work

Cause: admission compared the whole backlog with its limits. Change: short jobs are judged by the backlog of short work alone.

--- a/src/limpetlanding/entry/admission.py
+++ b/src/limpetlanding/entry/admission.py
@@ -10,6 +10,7 @@
 from limpetlanding.entry.view import LoadView
 from limpetlanding.jobs import Outcome, Reason
 from limpetlanding.policy import (
+    LONG_MS,
     Admission,
     AdmissionRequest,
     AgentLoad,
@@ -153,6 +154,7 @@
                 len(specs),
                 sum(spec.expected_ms for spec in specs),
                 deadline_ms,
+                any(spec.expected_ms >= LONG_MS for spec in specs),
             ),
             self._limits(contract),
             plan.predicted_ms,
--- a/src/limpetlanding/policy/admission.py
+++ b/src/limpetlanding/policy/admission.py
@@ -48,13 +48,15 @@
     """What admission needs to know of one job.
 
     `work_ms` is the sum of the expected run times at speed 1.0,
-    `remaining_ms` the time left until the deadline.
+    `remaining_ms` the time left until the deadline. `is_long` tells whether
+    a task of it belongs to the long class.
     """
 
     customer: str
     task_count: int
     work_ms: float
     remaining_ms: float
+    is_long: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -246,7 +248,8 @@
         start = max(self.retries_until, now)
         self.retries_until = start + request.work_ms / capacity / 1000
         excess_ms = (self.retries_until - now) * 1000
-        excess_ms += min(system.backlog_ms, MAX_BACKLOG_MS)
+        backlog_ms = system.backlog_for(request.is_long)
+        excess_ms += min(backlog_ms, MAX_BACKLOG_MS)
         return retry_after(excess_ms, self.rng)
 
 
@@ -287,7 +290,7 @@
         return True
     if 'deadline' not in limits.may_refuse:
         return False
-    busy = system.backlog_ms > BUSY_BACKLOG_MS
+    busy = system.backlog_for(request.is_long) > BUSY_BACKLOG_MS
     ratio = usage.errors.high if busy else usage.errors.low
     return predicted_ms * ratio > request.remaining_ms
 
@@ -300,7 +303,8 @@
 ) -> bool:
     if 'overload' not in limits.may_refuse:
         return False
-    over_ms = system.backlog_ms - OVER_SHARE_BACKLOG_MS
+    backlog_ms = system.backlog_for(request.is_long)
+    over_ms = backlog_ms - OVER_SHARE_BACKLOG_MS
     if over_ms <= 0:
         return False
     share = limits.peak_share * system.capacity / system.entries
--- a/src/limpetlanding/policy/load.py
+++ b/src/limpetlanding/policy/load.py
@@ -133,25 +133,46 @@
         Time that the queued work takes at full capacity.
     entries : int
         Live entries; each is taken to see an equal part of the demand.
+    long_backlog_ms : float
+        The part of the backlog that is long work; short work passes it.
     """
 
     capacity: float
     backlog_ms: float
     entries: int = 1
+    long_backlog_ms: float = 0
+
+    def backlog_for(self, is_long: bool) -> float:
+        """Return the backlog that work of this class waits for, in ms.
+
+        Examples
+        --------
+        >>> load = SystemLoad(88, 500, long_backlog_ms=400)
+        >>> load.backlog_for(is_long=True), load.backlog_for(is_long=False)
+        (500, 100)
+        """
+        if is_long:
+            return self.backlog_ms
+        return self.backlog_ms - self.long_backlog_ms
 
 
 def system_load(loads: Iterable[AgentLoad], entries: int = 1) -> SystemLoad:
     """Sum up a view; O(agents), so meant for once per report interval."""
     capacity: float = 0
     queued_ms: float = 0
+    long_ms: float = 0
     for load in loads:
         if load.usable:
             serving = [x for x in load.endpoints if x.serving]
             capacity += sum(x.slots * x.speed for x in serving)
             queued_ms += load.queued_short_ms + load.queued_long_ms
+            long_ms += load.queued_long_ms
             queued_ms += _pending_queued_ms(load, serving)
-    backlog_ms = queued_ms / capacity if capacity else float('inf')
-    return SystemLoad(capacity, backlog_ms, entries)
+    if not capacity:
+        return SystemLoad(0, float('inf'), entries)
+    return SystemLoad(
+        capacity, queued_ms / capacity, entries, long_ms / capacity
+    )
 
 
 def _pending_queued_ms(load: AgentLoad, serving: list[EndpointLoad]) -> float:
--- a/src/limpetlanding/policy/tests/test_admission.py
+++ b/src/limpetlanding/policy/tests/test_admission.py
@@ -1,3 +1,4 @@
+from dataclasses import replace
 from itertools import combinations
 from random import Random
 
@@ -171,6 +172,21 @@
         system = SystemLoad(88, MAX_BACKLOG_MS + 1, 3)
         assert self.run_second(Admission(), 'in', 1.0, system) == 0
 
+    def test_short_work_is_not_refused_for_queued_long_work(self):
+        # Guards against refusals of work that would pass the queue: 1.8% of
+        # all jobs at 70% load with 10% long work.
+        backlog_ms = MAX_BACKLOG_MS + 1
+        system = SystemLoad(88, backlog_ms, 3, long_backlog_ms=backlog_ms)
+        limits = Limits(1000, 1000, 0.1)
+        short = request(remaining_ms=1e6)
+        long = replace(short, is_long=True)
+        admission = Admission()
+        verdicts = [
+            admission.decide(job, limits, 300, system, 0)
+            for job in (short, long)
+        ]
+        assert [type(x) for x in verdicts] == [Admitted, Refused]
+
     def test_contract_can_forbid_the_refusal(self):
         limits = Limits(1000, 1000, 0.1, frozenset(['deadline']))
         system = SystemLoad(88, MAX_BACKLOG_MS + 1, 3)
