--- a/src/limpetlanding/entry/submissions.py
+++ b/src/limpetlanding/entry/submissions.py
@@ -39,9 +39,6 @@
         find out the fate of its tasks.
     mint_wait_s : float
         Longest wait for an id block.
-    accept_s : float
-        Longest wait for the coordinator to accept a job whose caller does
-        not wait for the answer.
     follow_s : float
         How long a job without a waiting caller is counted at most; the
         longest time that a coordinator keeps a job running.
@@ -49,7 +46,6 @@
 
     answer_margin_s: float = 1
     mint_wait_s: float = 1
-    accept_s: float = 1
     follow_s: float = 600
 
 
