--- a/src/limpetlanding/contracts/publish.py
+++ b/src/limpetlanding/contracts/publish.py
@@ -23,6 +23,7 @@
     LogClient,
     LogRefused,
     LogUnavailable,
+    PageUnreadable,
     backoff_s,
 )
 
@@ -163,7 +164,7 @@
                 await self._append_once(record)
             except LogRefused as error:
                 return self._result(Result.INVALID, error.detail)
-            except LogUnavailable as error:
+            except (LogUnavailable, PageUnreadable) as error:
                 self.progress(f'no answer to the append: {error.detail}')
                 await asyncio.sleep(backoff_s(attempt, self.log.rng))
             # A lost answer is settled by what the log holds, not by a
--- a/src/limpetlanding/logservice/client.py
+++ b/src/limpetlanding/logservice/client.py
@@ -258,8 +258,10 @@
         if status == _OK:
             return self._decode(text, step)
         if status == _GONE:
-            first = self._decode(text, step).get('first', 0)
-            raise LogTruncated(int(first), peer=peer)
+            first = self._decode(text, step).get('first')
+            if not isinstance(first, int):
+                raise self._unavailable(step, 'status 410 without first')
+            raise LogTruncated(first, peer=peer)
         if status == _TOO_MANY:
             raise LogThrottled('too many appends', step=step, peer=peer)
         detail = f'status {status}: {text[:200].decode(errors="replace")}'
@@ -270,11 +272,12 @@
     def _decode(self, text: bytes, step: str) -> dict[str, Any]:
         try:
             data = json.loads(text)
-        except ValueError as error:
+        except (json.JSONDecodeError, UnicodeDecodeError) as error:
             raise self._unavailable(step, f'not JSON: {error}') from error
-        except RecursionError as error:
+        except (RecursionError, ValueError) as error:
+            # Nested too deep, or a number with thousands of digits.
             raise PageUnreadable(
-                'nested too deep', step=step, peer=str(self.url)
+                str(error), step=step, peer=str(self.url)
             ) from error
         if not isinstance(data, dict):
             raise self._unavailable(step, 'answer is no JSON object')
--- a/src/limpetlanding/logservice/tests/test_client.py
+++ b/src/limpetlanding/logservice/tests/test_client.py
@@ -103,8 +103,11 @@
         with pytest.raises(LogRefused):
             await client.append('a', {'x': 'y' * 2_000_000})
 
+    @pytest.mark.parametrize(
+        'body', [b'[' * 100_000 + b']' * 100_000, b'9' * 10_000]
+    )
     async def test_hostile_record_does_not_stop_the_reader(
-        self, standin_log, client
+        self, standin_log, client, body
     ):
         # Guards against one record that no reader can decode.
         stream = standin_log.streams
@@ -112,7 +115,7 @@
         standin_log.append('contracts', {})
         standin_log.append('contracts', {'n': 2})
         records = stream['contracts'].records
-        records[1] = (0, b'[' * 100_000 + b']' * 100_000)
+        records[1] = (0, body)
         bodies = []
         async for page in client.pages(0):
             bodies.extend(record.body for record in page.records)
