--- a/src/limpetlanding/cli/main.py
+++ b/src/limpetlanding/cli/main.py
@@ -20,21 +20,37 @@
 
 def entry(settings: str) -> None:
     """Run an entry with the settings file SETTINGS."""
+    from limpetlanding.config import Replica
     from limpetlanding.entry.role import run_entry
 
-    asyncio.run(run_entry(_settings_for('entry', settings)))
+    async def run(checked: Settings) -> None:
+        await run_entry(checked, Replica(checked))
+
+    asyncio.run(run(_settings_for('entry', settings)))
 
 
 def agent(settings: str) -> None:
     """Run an agent with the settings file SETTINGS."""
     from limpetlanding.agent.role import run_agent
+    from limpetlanding.config import Replica
+
+    async def run(checked: Settings) -> None:
+        await run_agent(checked, Replica(checked))
+
+    asyncio.run(run(_settings_for('agent', settings)))
 
-    asyncio.run(run_agent(_settings_for('agent', settings)))
 
+def check_settings(file: str, *, json: bool = False) -> str:
+    """Check a settings file without starting anything.
 
-def check_settings(file: str) -> str:
-    """Check a settings file without starting anything."""
+    Parameters
+    ----------
+    json : bool
+        Print the settings with all defaults as JSON.
+    """
     settings = load_settings(file)
+    if json:
+        return settings.model_dump_json(indent=2)
     return f'{file}: valid settings of {settings.role} {settings.node}'
 
 
@@ -50,6 +66,10 @@
     'submit': 'limpetlanding.cli.caller:submit',
     'status-job': 'limpetlanding.cli.caller:status_job',
     'cancel': 'limpetlanding.cli.caller:cancel',
+    'contract': 'limpetlanding.cli.contracts:VERBS',
+    'status': 'limpetlanding.cli.operator:status',
+    'drain': 'limpetlanding.cli.operator:drain',
+    'explain': 'limpetlanding.cli.operator:explain',
     'standin': 'limpetlanding.cli.standins:VERBS',
 }
 
--- a/src/limpetlanding/config/replica.py
+++ b/src/limpetlanding/config/replica.py
@@ -76,7 +76,9 @@
 
     async def _read(self, reads_log: Callable[[], bool]) -> None:
         settings = self.settings.log
-        async with LogClient(settings.url, settings.stream) as log:
+        async with LogClient(
+            settings.url, settings.stream, settings.timeout_ms
+        ) as log:
             reader = ConfigReader(
                 self.store, log, self.settings.node, settings.retention_s
             )
--- a/src/limpetlanding/entry/admission.py
+++ b/src/limpetlanding/entry/admission.py
@@ -60,6 +60,9 @@
     moved: set[int] = field(default_factory=set)
 
 
+DeadlineRule = Callable[[Contract, Submission], float]
+
+
 @dataclass(slots=True)
 class PolicyParts:
     """State of the policies that one entry uses."""
@@ -68,6 +71,7 @@
     estimator: Estimator
     detector: OutlierDetector
     place: Placer
+    deadline: DeadlineRule = field(default_factory=lambda: deadline_of)
 
 
 class Gate:
@@ -142,7 +146,7 @@
         if missing is not None:
             plan.undo()
             return self._no_place(missing, loads)
-        deadline_ms = deadline_of(contract, submission)
+        deadline_ms = self.parts.deadline(contract, submission)
         decision = self.parts.admission.decide(
             AdmissionRequest(
                 contract.customer,
@@ -183,12 +187,16 @@
         if answer is None:
             return
         now = self.clock()
-        if answer.outcome == Outcome.COMPLETE:
+        complete = answer.outcome == Outcome.COMPLETE
+        if complete or answer.reason == Reason.DEADLINE:
+            # Without the jobs that were dropped past their deadline the
+            # predictions would look better than they are.
             self.parts.admission.job_ended(
                 ticket.customer,
                 ticket.predicted_ms,
                 (now - ticket.admitted_at) * 1000,
             )
+        if complete:
             self._learn(ticket, answer, now)
         elif answer.reason == Reason.TASK_ERROR:
             failed = self.view.incarnation_of(answer.peer)
--- a/src/limpetlanding/entry/core.py
+++ b/src/limpetlanding/entry/core.py
@@ -203,6 +203,8 @@
         'incarnation': load.incarnation,
         'failure_domain': load.failure_domain,
         'queued_ms': load.queued_short_ms + load.queued_long_ms,
+        'slots': sum(x.slots for x in load.endpoints),
+        'busy': sum(x.busy for x in load.endpoints),
         'endpoints': [
             {
                 'endpoint': x.endpoint,
--- a/src/limpetlanding/entry/role.py
+++ b/src/limpetlanding/entry/role.py
@@ -9,8 +9,10 @@
 
 from loguru import logger
 
-from limpetlanding.entry.admission import PolicyParts
-from limpetlanding.entry.auth import Contracts
+from limpetlanding.config.replica import Replica as ConfigReplica
+from limpetlanding.entry.admission import PolicyParts, deadline_of
+from limpetlanding.entry.api import Submission
+from limpetlanding.entry.auth import Contract, Contracts
 from limpetlanding.entry.core import EntryCore
 from limpetlanding.entry.http import CallerApi
 from limpetlanding.entry.metrics import render_metrics
@@ -44,6 +46,8 @@
     TaskSpec,
 )
 
+NAIVE_DEADLINE_MS = 600_000
+
 MEMBERS_S = 2
 """Interval of the exchange of members, as a guard against lost messages."""
 
@@ -295,22 +299,23 @@
         return plan_moves(placed, loads, domain, self.rng, now, budget)
 
 
-async def run_entry(settings: Settings, replica: Replica) -> None:
+async def run_entry(settings: Settings, replica: Replica | None = None) -> None:
     """Run an entry until SIGTERM, SIGINT or ``POST /drain``.
 
     Parameters
     ----------
     settings : Settings
         Settings of the process.
-    replica : Replica
-        Replica of the configuration.
+    replica : Replica, optional
+        Replica of the configuration; by default one that follows the log in
+        the settings and the peers.
 
     Raises
     ------
     OSError
         If an address cannot be used.
     """
-    role = EntryRole(settings, replica)
+    role = EntryRole(settings, replica or ConfigReplica(settings))
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, role.stop_wanted.set)
@@ -377,6 +382,11 @@
     return context
 
 
+def _no_deadline(_contract: Contract, _submission: Submission) -> float:
+    """Return the longest time of a job: the naive version refuses nothing."""
+    return NAIVE_DEADLINE_MS
+
+
 def _policy_parts(settings: Settings, rng: Random) -> PolicyParts:
     naive = settings.policy == 'naive'
     domain = settings.failure_domain
@@ -402,4 +412,5 @@
         Estimator(),
         OutlierDetector(),
         place_naively if naive else place_well,
+        _no_deadline if naive else deadline_of,
     )
