Give both roles one way of logs, metrics and service routes

Each role rendered metrics and served /healthz, /readyz, /metrics, /statusz and /drain by code of its own, and nothing configured the log lines.

Both now use package telemetry: JSON lines from the start of the process (those of asyncio and aiohttp and of the stand-ins too), one registry with units in the names, and the routes of telemetry.service. docs/metrics.md lists every metric with its unit and what to do about it; a test compares the page with what running roles serve.

Changed for operators: names of metrics end in their unit; the agent accepts POST /drain only from its own host, as the entry did; /readyz of an entry that is not ready names only what is missing. No collector is changed per request; counts are copied when they are read.

--- a/src/limpetlanding/agent/metrics.py
+++ b/src/limpetlanding/agent/metrics.py
@@ -1,26 +1,54 @@
-"""Metrics of an agent, taken from its counters when they are read."""
-
-from aioprometheus import Counter, Gauge, Registry, render
-from aioprometheus.collectors import Collector
+"""Metrics of an agent, copied from its counters when they are read."""
 
 from limpetlanding.agent.core import AgentCore
+from limpetlanding.telemetry import Metrics
 
 
-def render_metrics(core: AgentCore) -> str:
-    """Return the metrics in the text format of Prometheus."""
-    registry = Registry()
-    for collector, number in _gauges(core):
-        collector.set({}, number)
-        registry.register(collector)
-    events = Counter(
-        'limpetlanding_agent_events_total',
-        'Unusual and counted events by name.',
-        registry=registry,
+def export_agent(core: AgentCore, metrics: Metrics) -> None:
+    """Show the numbers of an agent in the metrics of its process."""
+    executor, coordinator = core.executor, core.coordinator
+    ledgers = coordinator.ledgers
+    metrics.gauges(
+        {
+            'agent_tasks_queued_count': (
+                'Tasks in the queue.',
+                lambda: len(executor.queue),
+            ),
+            'agent_tasks_running_count': (
+                'Tasks at endpoints.',
+                lambda: len(executor.running),
+            ),
+            'agent_tasks_remembered_count': (
+                'Tasks that are not started again.',
+                lambda: len(executor.markers.by_key),
+            ),
+            'agent_result_bytes': (
+                'Results held for coordinators.',
+                lambda: executor.markers.bytes_held,
+            ),
+            'agent_jobs_active_count': (
+                'Jobs that run.',
+                lambda: coordinator.active,
+            ),
+            'agent_job_records_count': (
+                'Ended jobs whose answer is held.',
+                lambda: sum(len(x.ended) for x in ledgers.values()),
+            ),
+            'agent_job_record_bytes': (
+                'Answers held of ended jobs.',
+                lambda: sum(x.bytes_held for x in ledgers.values()),
+            ),
+            'agent_slots_count': (
+                'Slots of the endpoints that serve.',
+                lambda: core.endpoints.slots,
+            ),
+        }
+    )
+    metrics.copy_counts(
+        metrics.counter('agent_events_total', 'Events by name.'),
+        'event',
+        lambda: iter(event_counts(core).items()),
     )
-    for name, count in event_counts(core).items():
-        events.set({'event': name}, count)
-    content, _ = render(registry, ['text/plain'])
-    return content.decode()
 
 
 def event_counts(core: AgentCore) -> dict[str, int]:
@@ -30,24 +58,3 @@
         **core.executor.caller.counters,
         **core.endpoints.counters,
     }
-
-
-def _gauges(core: AgentCore) -> list[tuple[Collector, float]]:
-    executor, coordinator = core.executor, core.coordinator
-    ledgers = coordinator.ledgers.values()
-    numbers = {
-        'tasks_queued': ('Tasks in the queue.', len(executor.queue)),
-        'tasks_running': ('Tasks at endpoints.', len(executor.running)),
-        'markers': ('Tasks remembered.', len(executor.markers.by_key)),
-        'result_bytes': ('Results held.', executor.markers.bytes_held),
-        'jobs_active': ('Jobs running.', coordinator.active),
-        'job_records': ('Ended jobs held.', sum(len(x.ended) for x in ledgers)),
-        'job_record_bytes': (
-            'Bytes of ended jobs.',
-            sum(x.bytes_held for x in ledgers),
-        ),
-    }
-    return [
-        (Gauge(f'limpetlanding_agent_{name}', doc, registry=Registry()), number)
-        for name, (doc, number) in numbers.items()
-    ]
--- a/src/limpetlanding/agent/role.py
+++ b/src/limpetlanding/agent/role.py
@@ -12,7 +12,7 @@
 
 from limpetlanding.agent.core import AgentCore, CoreOptions, CorePorts
 from limpetlanding.agent.load import LoadReporter
-from limpetlanding.agent.metrics import event_counts, render_metrics
+from limpetlanding.agent.metrics import event_counts, export_agent
 from limpetlanding.agent.options import (
     CoordinatorOptions,
     EndpointOptions,
@@ -20,7 +20,7 @@
 )
 from limpetlanding.agent.peers import Peers
 from limpetlanding.agent.records import RecordLimits
-from limpetlanding.agent.service import ServiceHooks, service
+from limpetlanding.agent.service import service
 from limpetlanding.lifecycle import Lifecycle, ProcessState
 from limpetlanding.policy import make_queue
 from limpetlanding.settings import Settings
@@ -28,9 +28,12 @@
     identity_status,
     new_hello,
     node_options,
+    process_metrics,
     stop_on_signals,
+    telemetry,
     wire_status,
 )
+from limpetlanding.telemetry import add_service_routes
 from limpetlanding.wire import (
     Channel,
     CoordinatorMoved,
@@ -178,14 +181,16 @@
             self.lifecycle.move(ProcessState.STOPPED)
 
     async def _start_http(self) -> web.AppRunner:
-        hooks = ServiceHooks(
-            self._missing,
-            self._status,
-            lambda: render_metrics(self.core),
-            self.stop_wanted.set,
+        app = service(self.core.endpoints)
+        metrics = process_metrics(
+            self.node.counters, self._missing, self.replica.status
+        )
+        export_agent(self.core, metrics)
+        add_service_routes(
+            app, self._missing, self._status, self.stop_wanted.set, metrics
         )
         runner = web.AppRunner(
-            service(self.core.endpoints, hooks),
+            app,
             handle_signals=False,
             access_log=None,
             keepalive_timeout=KEEPALIVE_S,
@@ -310,9 +315,10 @@
     OSError
         If an address cannot be used.
     """
-    role = AgentRole(settings, replica or NoReplica())
-    with stop_on_signals(role.stop_wanted.set):
-        await role.run()
+    with telemetry(settings):
+        role = AgentRole(settings, replica or NoReplica())
+        with stop_on_signals(role.stop_wanted.set):
+            await role.run()
 
 
 def core_options(settings: Settings) -> CoreOptions:
--- a/src/limpetlanding/agent/service.py
+++ b/src/limpetlanding/agent/service.py
@@ -1,9 +1,6 @@
-"""HTTP service of an agent: announcements and the operator's routes."""
+"""HTTP service of an agent for its endpoints."""
 
 import json
-from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Any
 
 from aiohttp import web
 from pydantic import BaseModel, Field, ValidationError
@@ -34,22 +31,8 @@
         return Announcement(**fields)
 
 
-@dataclass(slots=True)
-class ServiceHooks:
-    """What the operator's routes need of the role.
-
-    `missing` returns what keeps the agent from being ready, empty if
-    nothing; `drain` starts the planned stop.
-    """
-
-    missing: Callable[[], str]
-    status: Callable[[], dict[str, Any]]
-    metrics: Callable[[], str]
-    drain: Callable[[], None]
-
-
-def service(endpoints: Endpoints, hooks: ServiceHooks) -> web.Application:
-    """Return the HTTP application of an agent."""
+def service(endpoints: Endpoints) -> web.Application:
+    """Return the HTTP application of an agent, for its endpoints."""
 
     async def announce(request: web.Request) -> web.Response:
         try:
@@ -68,36 +51,6 @@
         lease_s = endpoints.announce(body.announcement())
         return web.json_response({'lease_ms': round(lease_s * 1000)})
 
-    async def health(_: web.Request) -> web.Response:
-        return web.Response(text='ok\n')
-
-    async def ready(_: web.Request) -> web.Response:
-        missing = hooks.missing()
-        if missing:
-            return web.Response(status=503, text=f'{missing}\n')
-        return web.Response(text='ready\n')
-
-    async def status(_: web.Request) -> web.Response:
-        return web.json_response(hooks.status())
-
-    async def metrics(_: web.Request) -> web.Response:
-        return web.Response(
-            text=hooks.metrics(), content_type='text/plain', charset='utf-8'
-        )
-
-    async def drain(_: web.Request) -> web.Response:
-        hooks.drain()
-        return web.json_response({'state': 'draining'}, status=202)
-
     app = web.Application(client_max_size=MAX_ANNOUNCEMENT_BYTES)
-    app.add_routes(
-        [
-            web.post('/v1/announce', announce),
-            web.get('/healthz', health),
-            web.get('/readyz', ready),
-            web.get('/statusz', status),
-            web.get('/metrics', metrics),
-            web.post('/drain', drain),
-        ]
-    )
+    app.add_routes([web.post('/v1/announce', announce)])
     return app
--- a/src/limpetlanding/agent/tests/test_role.py
+++ b/src/limpetlanding/agent/tests/test_role.py
@@ -267,7 +267,7 @@
         assert status == 200
         assert '"messages_sent"' in text
         status, text = await get('/metrics')
-        assert 'limpetlanding_agent_tasks_queued 0' in text
+        assert 'limpetlanding_agent_tasks_queued_count 0' in text
 
     async def test_invalid_announcement_names_the_problem(self, deployment):
         await deployment.add_agent(1)
--- a/src/limpetlanding/entry/metrics.py
+++ b/src/limpetlanding/entry/metrics.py
@@ -1,58 +1,58 @@
-"""Metrics of an entry, taken from its counters when they are read."""
+"""Metrics of an entry, copied from its counters when they are read."""
 
-from aioprometheus import Counter, Gauge, Registry, render
+from collections.abc import Callable
 
 from limpetlanding.entry.core import EntryCore
-from limpetlanding.wire import Counters
+from limpetlanding.telemetry import Metrics
 
-_PREFIX = 'limpetlanding_entry'
 
-
-def render_metrics(core: EntryCore, wire: Counters, in_flight: int) -> str:
-    """Return the metrics in the text format of Prometheus.
+def export_entry(
+    core: EntryCore, in_flight: Callable[[], int], metrics: Metrics
+) -> None:
+    """Show the numbers of an entry in the metrics of its process.
 
     Parameters
     ----------
     core : EntryCore
         Parts of the entry.
-    wire : limpetlanding.wire.Counters
-        Counters of the node.
-    in_flight : int
-        HTTP requests being served.
+    in_flight : callable
+        Returns the number of HTTP requests being served.
+    metrics : Metrics
+        Metrics of the process.
     """
-    registry = Registry()
-    for name, (doc, number) in _gauges(core, in_flight).items():
-        Gauge(f'{_PREFIX}_{name}', doc, registry=registry).set({}, number)
-    _count(registry, 'events', 'Unusual events.', core.router.events)
-    _count(registry, 'wire_events', 'Unusual events of links.', wire.events)
-    _count(registry, 'answers', 'Answers to submissions.', core.gate.answers)
-    _count(
-        registry,
-        'messages_sent',
-        'Messages sent to other processes, by type.',
-        wire.sent.messages,
-    )
-    content, _ = render(registry, ['text/plain'])
-    return content.decode()
 
-
-def _gauges(core: EntryCore, in_flight: int) -> dict[str, tuple[str, float]]:
-    loads = core.view.loads(core.clock()).values()
-    return {
-        'requests_in_flight': ('HTTP requests being served.', in_flight),
-        'jobs_in_flight': ('Admitted jobs.', len(core.gate.tickets)),
-        'agents': ('Agents known.', len(loads)),
-        'agents_usable': (
-            'Agents that get new tasks.',
-            sum(load.usable for load in loads),
+    def loads() -> list[bool]:
+        known = core.view.loads(core.clock()).values()
+        return [load.usable for load in known]
+
+    metrics.gauges(
+        {
+            'entry_requests_in_flight_count': (
+                'HTTP requests being served.',
+                in_flight,
+            ),
+            'entry_jobs_in_flight_count': (
+                'Admitted jobs without an answer.',
+                lambda: len(core.gate.tickets),
+            ),
+            'entry_agents_count': ('Agents known.', lambda: len(loads())),
+            'entry_agents_usable_count': (
+                'Agents that get new tasks.',
+                lambda: sum(loads()),
+            ),
+        }
+    )
+    moved = metrics.counter('entry_tasks_moved_total', 'Tasks asked to move.')
+    metrics.before_render(lambda: moved.set({}, core.mover.moved))
+    metrics.copy_counts(
+        metrics.counter(
+            'entry_answers_total', 'Answers to submissions by result.'
         ),
-        'tasks_moved': ('Tasks asked to move.', core.mover.moved),
-    }
-
-
-def _count(
-    registry: Registry, name: str, doc: str, counts: dict[str, int]
-) -> None:
-    counter = Counter(f'{_PREFIX}_{name}_total', doc, registry=registry)
-    for label, count in counts.items():
-        counter.set({'name': label}, count)
+        'result',
+        lambda: iter(core.gate.answers.items()),
+    )
+    metrics.copy_counts(
+        metrics.counter('entry_events_total', 'Unusual events by name.'),
+        'event',
+        lambda: iter(core.router.events.items()),
+    )
--- a/src/limpetlanding/entry/role.py
+++ b/src/limpetlanding/entry/role.py
@@ -13,8 +13,7 @@
 from limpetlanding.entry.auth import Contract, Contracts
 from limpetlanding.entry.core import EntryCore
 from limpetlanding.entry.http import CallerApi
-from limpetlanding.entry.metrics import render_metrics
-from limpetlanding.entry.operations import Operations
+from limpetlanding.entry.metrics import export_entry
 from limpetlanding.entry.server import HttpServer
 from limpetlanding.errors import LimpetlandingError
 from limpetlanding.lifecycle import Lifecycle, ProcessState
@@ -37,9 +36,12 @@
     identity_status,
     new_hello,
     node_options,
+    process_metrics,
     stop_on_signals,
+    telemetry,
     wire_status,
 )
+from limpetlanding.telemetry import add_service_routes
 from limpetlanding.wire import (
     Channel,
     Members,
@@ -123,18 +125,17 @@
         self.node.on_heartbeat = replica.heartbeat
         self.node.on_peer_up = self._peer_up
         self.node.on_peer_down = self._peer_down
-        self.operations = Operations(
-            lambda: self.lifecycle.state,
-            self._missing,
-            self._status,
-            self._metrics,
-            self.stop_wanted.set,
-        )
         app = CallerApi(
             self.core.submissions, replica, settings.max_body_bytes
         ).application()
-        app.add_routes(self.operations.routes())
+        metrics = process_metrics(
+            self.node.counters, self._unready, replica.status
+        )
+        add_service_routes(
+            app, self._unready, self._status, self.stop_wanted.set, metrics
+        )
         self.http = HttpServer(app, settings.stop_grace_s)
+        export_entry(self.core, lambda: self.http.in_flight, metrics)
 
     async def run(self) -> None:
         """Serve until a stop is wanted, then stop without cutting requests."""
@@ -241,6 +242,11 @@
         readers = self.members.live(self.settings.region)[:2]
         return self.hello.node in readers
 
+    def _unready(self) -> str:
+        if self.lifecycle.state != ProcessState.READY:
+            return str(self.lifecycle.state)
+        return self._missing()
+
     def _missing(self) -> str:
         if not self.replica.loaded():
             return 'no configuration'
@@ -265,11 +271,6 @@
             **self.replica.status(),
         }
 
-    def _metrics(self) -> str:
-        return render_metrics(
-            self.core, self.node.counters, self.http.in_flight
-        )
-
     def _plan_moves(
         self,
         placed: Sequence[PlacedTask],
@@ -299,9 +300,10 @@
     OSError
         If an address cannot be used.
     """
-    role = EntryRole(settings, replica or ConfigReplica(settings))
-    with stop_on_signals(role.stop_wanted.set):
-        await role.run()
+    with telemetry(settings):
+        role = EntryRole(settings, replica or ConfigReplica(settings))
+        with stop_on_signals(role.stop_wanted.set):
+            await role.run()
 
 
 async def _first(
--- a/src/limpetlanding/entry/tests/test_role.py
+++ b/src/limpetlanding/entry/tests/test_role.py
@@ -75,8 +75,8 @@
         assert body['outcome'] == 'complete'
         assert ready.status == 200
         assert status['agents'][0]['node'] == 'agent-1'
-        assert 'limpetlanding_entry_agents_usable 1' in text
-        assert 'answers_total{name="complete"} 1' in text
+        assert 'limpetlanding_entry_agents_usable_count 1' in text
+        assert 'answers_total{result="complete"} 1' in text
 
     async def test_entries_learn_of_each_other_and_split_the_limits(self):
         # Guards against an entry that goes on with the whole limit although
--- a/src/limpetlanding/standin/endpoint.py
+++ b/src/limpetlanding/standin/endpoint.py
@@ -18,6 +18,7 @@
 from aiohttp import web
 
 from limpetlanding.jobs import new_incarnation
+from limpetlanding.startup import start_logs
 
 ANNOUNCE_INTERVAL_S = 1
 KEPT_ANSWERS = 10_000
@@ -279,4 +280,5 @@
     options = EndpointOptions(
         endpoint_id, tuple(names), speed=float(speed), slots=slots
     )
+    start_logs('INFO', 'endpoint', endpoint_id)
     asyncio.run(serve_endpoint(options, host, port, agent_url))
--- a/src/limpetlanding/standin/log.py
+++ b/src/limpetlanding/standin/log.py
@@ -11,6 +11,8 @@
 
 from aiohttp import web
 
+from limpetlanding.startup import start_logs
+
 DEFAULT_APPENDS_PER_SECOND = 300
 DEFAULT_RETENTION_S = 604_800.0
 MAX_BODY_BYTES = 1024 * 1024
@@ -208,6 +210,7 @@
     appends_per_second : int
         Appends per second; more are answered with 429.
     """
+    start_logs('INFO', 'log', f'{host}:{port}')
     log = StandinLog(float(retention_s), appends_per_second)
     asyncio.run(serve_log(log, host, port))
 
--- a/src/limpetlanding/startup/__init__.py
+++ b/src/limpetlanding/startup/__init__.py
@@ -1,6 +1,8 @@
 """What the roles do alike when they start, run and stop."""
 
 from limpetlanding.startup.identity import new_hello
+from limpetlanding.startup.logs import start_logs, telemetry
+from limpetlanding.startup.metrics import process_metrics
 from limpetlanding.startup.node import node_options
 from limpetlanding.startup.signals import stop_on_signals
 from limpetlanding.startup.status import identity_status, wire_status
@@ -11,7 +13,10 @@
     'identity_status',
     'new_hello',
     'node_options',
+    'process_metrics',
     'server_tls',
+    'start_logs',
     'stop_on_signals',
+    'telemetry',
     'wire_status',
 )
--- /dev/null
+++ b/src/limpetlanding/startup/tests/test_metrics_page.py
@@ -0,0 +1,78 @@
+"""The operator's page of metrics against the running roles."""
+
+import re
+from pathlib import Path
+
+import aiohttp
+
+from limpetlanding.entry.tests.test_system import running_system, tasks
+
+PAGE = Path(__file__).parents[4] / 'docs' / 'metrics.md'
+UNITS = {
+    '_seconds': 'seconds',
+    '_bytes': 'bytes',
+    '_bytes_total': 'bytes',
+}
+
+
+def listed():
+    """Return unit and advice of each metric on the page, by section."""
+    sections = {}
+    for section in PAGE.read_text().split('\n## ')[1:]:
+        title = section.partition('\n')[0]
+        rows = re.findall(
+            r'^\| `(\w+)` \| (.+?) \| (.+?) \|$', section, re.MULTILINE
+        )
+        sections[title] = {name: (unit, advice) for name, unit, advice in rows}
+    return sections
+
+
+async def served(session, port):
+    async with session.get(f'http://127.0.0.1:{port}/metrics') as response:
+        text = await response.text()
+    return set(re.findall(r'^# TYPE (\w+) ', text, re.MULTILINE)), text
+
+
+class TestMetricsPage:
+    async def test_page_lists_what_running_roles_serve(self):
+        # Guards against a metric that no operator can interpret, and against
+        # advice about one that is gone.
+        async with running_system(agents=1) as system:
+            (job_id,) = await system.callers[0].mint()
+            answer, _ = await system.callers[0].submit(job_id, tasks=tasks(2))
+            async with aiohttp.ClientSession() as session:
+                entry, text = await served(session, 8001)
+                agent, _ = await served(session, 8101)
+        assert answer.status == 200
+        page = listed()
+        common = set(page['Every role'])
+        assert entry == common | set(page['Entry'])
+        assert agent == common | set(page['Agent'])
+        assert 'limpetlanding_entry_answers_total{result="complete"} 1' in text
+        assert 'limpetlanding_ready_count 1' in text
+
+    def test_names_end_in_the_listed_unit(self):
+        for metrics in listed().values():
+            for name, (unit, advice) in metrics.items():
+                assert advice
+                for ending, expected in UNITS.items():
+                    if name.endswith(ending):
+                        assert unit.partition(' ')[0] == expected
+
+    async def test_labels_have_few_values(self):
+        # Guards against series that grow with the jobs or the customers.
+        async with running_system(agents=1) as system:
+            caller = system.callers[0]
+            ids = await caller.mint(3)
+            for job_id in ids:
+                await caller.submit(job_id, tasks=tasks(1))
+            async with aiohttp.ClientSession() as session:
+                texts = [(await served(session, x))[1] for x in (8001, 8101)]
+        labels = {
+            name
+            for text in texts
+            for inner in re.findall(r'\{(.*?)\}', text)
+            for name in re.findall(r'(\w+)="', inner)
+        }
+        assert labels <= {'type', 'event', 'result'}
+        assert not any(x in text for x in (*ids, 'offcut') for text in texts)
--- a/src/limpetlanding/startup/tests/test_startup.py
+++ b/src/limpetlanding/startup/tests/test_startup.py
@@ -1,10 +1,14 @@
 import asyncio
+import json
+import logging
 import os
 import signal
 import ssl
+import sys
 
 import pytest
 import trustme
+from loguru import logger
 
 from limpetlanding.settings import Settings
 from limpetlanding.startup import (
@@ -12,6 +16,7 @@
     new_hello,
     node_options,
     stop_on_signals,
+    telemetry,
 )
 
 
@@ -96,3 +101,29 @@
                 os.kill(os.getpid(), number)
                 assert await stops.get()
         assert signal.getsignal(signal.SIGTERM) == before
+
+
+class TestTelemetry:
+    @pytest.fixture(autouse=True)
+    def _own_logs(self):
+        root = logging.getLogger()
+        before = list(root.handlers)
+        yield
+        root.handlers[:] = before
+        logger.remove()
+        logger.configure(extra={})
+        logger.add(sys.stderr)
+
+    def test_lines_of_all_libraries_have_one_format(self, capsys):
+        # Guards against lines that `limpetlanding explain` cannot read.
+        with telemetry(settings(log_level='WARNING')):
+            logger.info('below the level of the settings')
+            logger.bind(step='submit').warning('own')
+            logging.getLogger('asyncio').error('library %s', 1)
+        lines = [json.loads(x) for x in capsys.readouterr().err.splitlines()]
+        told = [(x['step'], x['message'], x['level']) for x in lines]
+        assert told == [
+            ('submit', 'own', 'WARNING'),
+            ('asyncio', 'library 1', 'ERROR'),
+        ]
+        assert {(x['role'], x['node']) for x in lines} == {('entry', 'entry-1')}
--- a/src/limpetlanding/telemetry/metrics.py
+++ b/src/limpetlanding/telemetry/metrics.py
@@ -1,7 +1,8 @@
 """Metrics: collectors whose names carry a unit."""
 
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
+from functools import partial
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
@@ -101,6 +102,32 @@
             buckets=[*bounds, float('inf')],
         )
 
+    def gauges(
+        self, sources: Mapping[str, tuple[str, Callable[[], float]]]
+    ) -> None:
+        """Add gauges without labels that are read when rendered.
+
+        Parameters
+        ----------
+        sources : mapping
+            Description and function that returns the number, by name.
+
+        Raises
+        ------
+        ValueError
+            If a name does not end in one of `UNITS` or is taken.
+
+        Examples
+        --------
+        >>> metrics = Metrics()
+        >>> metrics.gauges({'queue_count': ('Tasks.', lambda: 3)})
+        >>> 'queue_count 3' in metrics.render().content.decode()
+        True
+        """
+        for name, (doc, number) in sources.items():
+            gauge = self.gauge(name, doc)
+            self.before_render(partial(_set_gauge, gauge, number))
+
     def before_render(self, update: Callable[[], None]) -> None:
         """Call `update` before each rendering.
 
@@ -131,6 +158,10 @@
         return Rendered(content, headers['Content-Type'])
 
 
+def _set_gauge(gauge: Gauge, number: Callable[[], float]) -> None:
+    gauge.set({}, number())
+
+
 def _with_unit(name: str) -> str:
     if name.rpartition('_')[2] not in UNITS:
         units = ', '.join(UNITS)
--- a/src/limpetlanding/telemetry/service.py
+++ b/src/limpetlanding/telemetry/service.py
@@ -4,6 +4,7 @@
 from ipaddress import ip_address
 from typing import Any
 
+import orjson
 from aiohttp import web
 
 from limpetlanding.telemetry.metrics import Metrics
@@ -11,7 +12,7 @@
 
 def add_service_routes(
     app: web.Application,
-    is_ready: Callable[[], bool],
+    missing: Callable[[], str],
     status: Callable[[], Mapping[str, Any]],
     drain: Callable[[], None],
     metrics: Metrics,
@@ -19,17 +20,18 @@
     """Add the routes to the application of a role.
 
     ``GET /healthz`` answers 200 while the process runs. ``GET /readyz``
-    answers 200 or 503. ``GET /metrics`` and ``GET /statusz`` show the
-    process from within. ``POST /drain`` starts the planned stop and answers
-    202; it is accepted only from the host itself, because callers reach the
-    same port through the load balancer.
+    answers 200, or 503 with what is missing. ``GET /metrics`` and
+    ``GET /statusz`` show the process from within. ``POST /drain``
+    starts the planned stop and answers 202; it is accepted only from the
+    host itself, because callers reach the same port through the load
+    balancer.
 
     Parameters
     ----------
     app : aiohttp.web.Application
         Application of the role.
-    is_ready : callable
-        Whether the process takes new work.
+    missing : callable
+        Returns what keeps the process from taking new work, empty if nothing.
     status : callable
         Returns what ``limpetlanding status`` shows; must fit into JSON.
     drain : callable
@@ -40,12 +42,13 @@
     """
 
     async def get_health(_request: web.Request) -> web.Response:
-        return web.json_response({'status': 'ok'})
+        return web.Response(text='ok\n')
 
     async def get_ready(_request: web.Request) -> web.Response:
-        ready = is_ready()
-        code = web.HTTPOk if ready else web.HTTPServiceUnavailable
-        return web.json_response({'ready': ready}, status=code.status_code)
+        reason = missing()
+        if reason:
+            return web.Response(status=503, text=f'{reason}\n')
+        return web.Response(text='ready\n')
 
     async def get_metrics(request: web.Request) -> web.Response:
         rendered = metrics.render(request.headers.getall('Accept', []))
@@ -53,13 +56,13 @@
         return web.Response(body=rendered.content, headers=headers)
 
     async def get_status(_request: web.Request) -> web.Response:
-        return web.json_response(dict(status()))
+        return web.json_response(body=orjson.dumps(dict(status())))
 
     async def post_drain(request: web.Request) -> web.Response:
         if not _is_local(request.remote):
             raise web.HTTPForbidden(text='accepted only from the host itself')
         drain()
-        return web.json_response({'draining': True}, status=202)
+        return web.json_response({'state': 'draining'}, status=202)
 
     app.add_routes(
         [
--- a/src/limpetlanding/telemetry/tests/test_service.py
+++ b/src/limpetlanding/telemetry/tests/test_service.py
@@ -24,7 +24,7 @@
     app = web.Application()
     add_service_routes(
         app,
-        lambda: role.ready,
+        lambda: '' if role.ready else 'no agent',
         lambda: {'ready': role.ready, 'queued': 3},
         role.drain,
         role.metrics,
@@ -49,6 +49,8 @@
                 role.ready = ready
                 async with session.get('/readyz') as answer:
                     assert answer.status == code
+                    text = await answer.text()
+                assert text == ('ready\n' if ready else 'no agent\n')
             async with session.get('/healthz') as answer:
                 assert answer.status == 200
 
