Let stand-in endpoints refuse calls for an earlier incarnation

Cause: agents name the endpoint's incarnation in each call, so that a restarted endpoint does not run a repeat; the stand-in ignored the header and would have started the task a second time.

--- a/src/limpetlanding/standin/endpoint.py
+++ b/src/limpetlanding/standin/endpoint.py
@@ -13,6 +13,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 import aiohttp
 from aiohttp import web
@@ -21,6 +22,7 @@
 
 ANNOUNCE_INTERVAL_S = 1
 KEPT_ANSWERS = 10_000
+INCARNATION_HEADER = 'X-Endpoint-Incarnation'
 SILENCE_S = 3600
 _ANNOUNCE_TIMEOUT = aiohttp.ClientTimeout(total=2)
 
@@ -126,8 +128,19 @@
         return app
 
     async def run(self, request: web.Request) -> web.StreamResponse:
-        """Run a task, or join the call with the same idempotency key."""
+        """Run a task, or join the call with the same idempotency key.
+
+        A call that is meant for another incarnation is answered 412: a
+        restarted endpoint has no record of the calls before, so that it
+        cannot tell a repeat from a new call.
+        """
         body = await request.json()
+        meant_for = request.headers.get(INCARNATION_HEADER, self.incarnation)
+        if meant_for != self.incarnation:
+            return web.json_response(
+                {'task_id': body['task_id'], 'error': 'another incarnation'},
+                status=HTTPStatus.PRECONDITION_FAILED,
+            )
         connection = id(request.transport)
         self.connections.add(connection)
         if self.faults.silent:
--- a/src/limpetlanding/standin/tests/test_endpoint.py
+++ b/src/limpetlanding/standin/tests/test_endpoint.py
@@ -48,6 +48,16 @@
         assert answers[0] == answers[1]
         assert endpoint.starts == ['a/0']
 
+    async def test_call_for_an_earlier_incarnation_starts_nothing(
+        self, endpoint
+    ):
+        # A restarted endpoint that runs a repeat would start a task twice.
+        async with aiohttp.ClientSession() as session:
+            session.headers['X-Endpoint-Incarnation'] = 'earlier'
+            status, _ = await call(session, 'a/0')
+        assert status == 412
+        assert endpoint.starts == []
+
     async def test_run_time_follows_speed_and_slots(self, endpoint):
         loop = asyncio.get_running_loop()
         async with aiohttp.ClientSession() as session:
