Pass the blame of a failed task to the entry; count refusals for the status

Cause: the detector of bad agents never learned that a failure was the customer's, since JobAnswer did not carry it; the refusals table of the status verb was empty. Two settings that nothing used are gone. Tests: blame from the endpoint's answer to the detector; refusals by reason.

--- a/src/limpetlanding/agent/fates.py
+++ b/src/limpetlanding/agent/fates.py
@@ -76,6 +76,7 @@
     step: str
     peer: str = ''
     detail: str = ''
+    blame: str = ''
 
 
 def checked(report: TaskReport) -> TaskReport:
@@ -154,4 +155,5 @@
         step=cause.step,
         peer=cause.peer,
         detail=cause.detail,
+        blame=cause.blame,
     )
--- a/src/limpetlanding/agent/jobrun.py
+++ b/src/limpetlanding/agent/jobrun.py
@@ -166,7 +166,7 @@
 
     def _apply(self, fate: Fate, report: TaskReport) -> None:
         agent = fate.placement.agent if fate.placement else ''
-        cause = Cause(report.reason, 'run', agent, report.detail)
+        cause = Cause(report.reason, 'run', agent, report.detail, report.blame)
         match report.state:
             case TaskState.DONE:
                 fate.state = TaskState.DONE
--- a/src/limpetlanding/agent/tests/test_endpoints.py
+++ b/src/limpetlanding/agent/tests/test_endpoints.py
@@ -209,6 +209,7 @@
         endpoint.behaviour[1] = broken
         answer = await run_one(net, core)
         assert (answer.outcome, answer.reason) == ('failed', 'task_error')
+        assert answer.blame == 'endpoint'
 
     async def test_too_large_result_fails_the_job(self, net):
         # Guards against a reply beyond the frame limit, which has no answer.
--- a/src/limpetlanding/entry/admission.py
+++ b/src/limpetlanding/entry/admission.py
@@ -113,6 +113,7 @@
         self.system = SystemLoad(0, 0)
         self.system_until: float = 0
         self.answers: Counter[str] = Counter()
+        self.refusals: Counter[str] = Counter()
         self.tickets: dict[str, Ticket] = {}
 
     def check(
@@ -178,6 +179,8 @@
     def answered(self, answer: JobAnswer) -> None:
         """Count an answer to a submission, by outcome or reason."""
         self.answers[answer.reason or answer.outcome or 'accepted'] += 1
+        if answer.outcome == Outcome.NOT_RUN:
+            self.refusals[answer.reason] += 1
 
     def in_use(self, customer: str) -> int:
         """Return how many tasks of a customer run through this entry."""
@@ -202,7 +205,9 @@
             self._learn(ticket, answer, now)
         elif answer.reason == Reason.TASK_ERROR:
             failed = self.view.incarnation_of(answer.peer)
-            self.parts.detector.failed(failed, ticket.customer, now)
+            self.parts.detector.failed(
+                failed, ticket.customer, now, answer.blame
+            )
         elif answer.reason == Reason.AGENT_LOST:
             silent = self.view.incarnation_of(answer.peer)
             self.parts.detector.silent(silent, now)
--- a/src/limpetlanding/entry/core.py
+++ b/src/limpetlanding/entry/core.py
@@ -184,6 +184,7 @@
             },
             'kinds': sorted(self.view.kinds),
             'tasks_moved': self.mover.moved,
+            'refusals': dict(self.gate.refusals),
             'events': dict(self.router.events),
         }
 
--- a/src/limpetlanding/entry/tests/test_admission.py
+++ b/src/limpetlanding/entry/tests/test_admission.py
@@ -29,7 +29,7 @@
         self.seen.append(('succeeded', agent[-1], round(ratio, 2)))
 
     def failed(self, agent, customer, now, blame=''):
-        self.seen.append(('failed', agent[-1]))
+        self.seen.append(('failed', agent[-1], blame))
 
     def silent(self, agent, now):
         self.seen.append(('silent', agent[-1]))
@@ -110,7 +110,24 @@
         for reason in ('task_error', 'agent_lost', 'cancelled'):
             failed = JobAnswer('id', 'failed', reason, peer='agent-2')
             core.gate.ended(ticket, failed)
-        assert detector.seen == [('failed', '2'), ('silent', '2')]
+        assert detector.seen == [('failed', '2', ''), ('silent', '2')]
+
+    async def test_detector_hears_whose_fault_a_failure_is(
+        self, core, detector
+    ):
+        # Guards against an agent that is ejected for a customer's bad tasks.
+        ticket = core.gate.admit(FakeContract(), submission(1))
+        failed = JobAnswer(
+            'id', 'failed', 'task_error', peer='agent-2', blame='customer'
+        )
+        core.gate.ended(ticket, failed)
+        assert detector.seen == [('failed', '2', 'customer')]
+
+    async def test_refusals_are_counted_by_reason(self, core):
+        # Guards against an empty refusals table of the status verb.
+        core.gate.answered(JobAnswer('id', 'not_run', 'overload'))
+        core.gate.answered(JobAnswer('id', 'failed', 'task_error'))
+        assert core.status()['refusals'] == {'overload': 1}
 
     async def test_detector_compares_with_the_reported_speed(
         self, core, detector
--- a/src/limpetlanding/settings/models.py
+++ b/src/limpetlanding/settings/models.py
@@ -125,11 +125,9 @@
     max_records: Count = 200_000
     retention_s: Seconds = 120
     max_job_s: Seconds = 600
-    default_deadline_ms: Milliseconds = 10_000
     endpoint_lease_ms: Milliseconds = 3_000
     endpoint_silence_ms: Milliseconds = 1_000
     load_report_ms: Milliseconds = 50
-    share_lease_ms: Milliseconds = 5_000
     # Task runs of several seconds must end before a planned stop gives up.
     stop_grace_s: Seconds = 60
 
--- a/src/limpetlanding/wire/messages.py
+++ b/src/limpetlanding/wire/messages.py
@@ -176,6 +176,7 @@
     peer: str = ''
     detail: str = ''
     retry_after_ms: float = 0
+    blame: str = ''
 
 
 @message('place')
