--- a/src/limpetlanding/standin/endpoint.py
+++ b/src/limpetlanding/standin/endpoint.py
@@ -13,6 +13,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 import aiohttp
 from aiohttp import web
@@ -22,6 +23,7 @@
 
 ANNOUNCE_INTERVAL_S = 1
 KEPT_ANSWERS = 10_000
+INCARNATION_HEADER = 'X-Endpoint-Incarnation'
 SILENCE_S = 3600
 _ANNOUNCE_TIMEOUT = aiohttp.ClientTimeout(total=2)
 
@@ -127,8 +129,19 @@
         return app
 
     async def run(self, request: web.Request) -> web.StreamResponse:
-        """Run a task, or join the call with the same idempotency key."""
+        """Run a task, or join the call with the same idempotency key.
+
+        A call that is meant for another incarnation is answered 412: a
+        restarted endpoint has no record of the calls before, so that it
+        cannot tell a repeat from a new call.
+        """
         body = await request.json()
+        meant_for = request.headers.get(INCARNATION_HEADER, self.incarnation)
+        if meant_for != self.incarnation:
+            return web.json_response(
+                {'task_id': body['task_id'], 'error': 'another incarnation'},
+                status=HTTPStatus.PRECONDITION_FAILED,
+            )
         connection = id(request.transport)
         self.connections.add(connection)
         if self.faults.silent:
