Serve HTTP over TLS where the settings name files

The settings key tls covers the links only; callers sent their keys to the entry in clear text. http.tls names certificate and key of the HTTP listener, for both roles; clients show no certificate. Tests over loopback sockets ask with trust, without TLS and with trust in another authority.

The entry's lines about single requests to coordinators carry request_id and job_id; they are at DEBUG, since the line of the answer tells the result. An answer of a fault other than lateness stays a warning.

--- a/src/limpetlanding/agent/role.py
+++ b/src/limpetlanding/agent/role.py
@@ -28,6 +28,7 @@
 from limpetlanding.settings import Settings
 from limpetlanding.startup import (
     identity_status,
+    listen_http,
     new_hello,
     node_options,
     process_metrics,
@@ -226,14 +227,10 @@
             access_log=None,
             keepalive_timeout=KEEPALIVE_S,
         )
-        await runner.setup()
-        listen = self.settings.http
-        server = await asyncio.get_running_loop().create_server(
-            runner.server, listen.host, listen.port
-        )
-        port = listen.port or server.sockets[0].getsockname()[1]
-        host = self.settings.advertise_host or listen.host
-        self.hello.http_address = f'{host}:{port}'
+        address = self.settings.http
+        listener = await listen_http(runner, address)
+        host = self.settings.advertise_host or address.host
+        self.hello.http_address = f'{host}:{listener.port}'
         return runner
 
     async def _drain(self) -> None:
--- a/src/limpetlanding/entry/http.py
+++ b/src/limpetlanding/entry/http.py
@@ -295,9 +295,9 @@
             return _rejected(401, Reason.UNAUTHORIZED)
         case web.HTTPException():
             return _of_http_error(error)
-    logger.bind(request_id=request[REQUEST_ID], step='http').opt(
-        exception=error
-    ).error('request failed')
+    logger.bind(
+        request_id=request[REQUEST_ID], step='http', peer=request.remote
+    ).opt(exception=error).error('request failed')
     # The job may have been forwarded before the fault.
     return _rejected(500, '', 'internal error', Outcome.MAY_HAVE_RUN)
 
--- a/src/limpetlanding/entry/role.py
+++ b/src/limpetlanding/entry/role.py
@@ -139,9 +139,7 @@
 
     async def run(self) -> None:
         """Serve until a stop is wanted, then stop without cutting requests."""
-        port = await self.http.start(
-            self.settings.http.host, self.settings.http.port
-        )
+        port = await self.http.start(self.settings.http)
         host = self.settings.advertise_host or self.settings.http.host
         # The first frame of every link names the address, so it is set first.
         self.hello.http_address = f'{host}:{port}'
--- a/src/limpetlanding/entry/router.py
+++ b/src/limpetlanding/entry/router.py
@@ -8,11 +8,10 @@
 from random import Random
 from typing import Any, Protocol
 
-from loguru import logger
-
 from limpetlanding.entry.answers import AnswerFault, answer_fault
 from limpetlanding.errors import LimpetlandingError, PeerLost, RequestTimeout
 from limpetlanding.jobs import Outcome, Reason, parse_job_id
+from limpetlanding.telemetry import job_log
 from limpetlanding.wire import (
     CancelJob,
     Hello,
@@ -188,7 +187,11 @@
 
     def stray_answer(self, channel: Peer, answer: JobAnswer) -> None:
         """Drop an answer that no request waits for."""
-        self._count_fault(AnswerFault.LATE, answer.job_id, channel.peer.node)
+        # The request that the answer was for is not known any more.
+        self.events[f'answers_{AnswerFault.LATE}'] += 1
+        job_log('', answer.job_id, 'answer', channel.peer.node).debug(
+            'dropped the answer to the job: {}', AnswerFault.LATE.value
+        )
 
     async def _attempt(self, call: _Call, channel: Peer) -> JobAnswer | None:
         left_s = call.expires_at - self.loop.time()
@@ -204,13 +207,16 @@
             return None
         except LimpetlandingError as error:
             self.events['requests_failed'] += 1
-            logger.bind(step=error.step, peer=error.peer).info(
+            _log(call, error.step, error.peer).debug(
                 'job request failed: {}', error.detail
             )
             return None
         fault = answer_fault(answer, call.job_id, call.task_count)
         if fault is not None:
-            self._count_fault(fault, call.job_id, channel.peer.node)
+            self.events[f'answers_{fault}'] += 1
+            _log(call, 'answer', channel.peer.node).warning(
+                'dropped the answer to the job: {}', fault.value
+            )
             return None
         return answer
 
@@ -341,12 +347,6 @@
         base = self.options.retry_min_s * 2 ** min(attempt, 10)
         return min(base, self.options.retry_max_s) * self.rng.uniform(0.5, 1)
 
-    def _count_fault(self, fault: AnswerFault, job_id: str, peer: str) -> None:
-        self.events[f'answers_{fault}'] += 1
-        logger.bind(step='answer', peer=peer).warning(
-            'dropped the answer to job {}: {}', job_id, fault.value
-        )
-
     def _doubt(self, call: _Call, reason: Reason, peer: str) -> JobAnswer:
         self.events[f'doubts_{reason}'] += 1
         return JobAnswer(
@@ -379,6 +379,11 @@
         return await asyncio.shield(task)
 
 
+def _log(call: _Call, step: str, peer: str) -> Any:
+    request_id = getattr(call.message, 'request_id', '')
+    return job_log(request_id, call.job_id, step, peer)
+
+
 async def _located(
     channel: Peer, question: LocateCoordinator, options: RouterOptions
 ) -> str | None:
--- a/src/limpetlanding/entry/server.py
+++ b/src/limpetlanding/entry/server.py
@@ -5,6 +5,9 @@
 
 from aiohttp import web
 
+from limpetlanding.settings import HttpAddress
+from limpetlanding.startup import listen_http
+
 KEEPALIVE_S = 75
 NOTICE_S = 2
 """Time between the end of readiness and the end of the listener, in which
@@ -40,20 +43,17 @@
             shutdown_timeout=stop_grace_s,
         )
 
-    async def start(self, host: str, port: int) -> int:
+    async def start(self, address: HttpAddress) -> int:
         """Listen; return the port.
 
         Raises
         ------
         OSError
-            If the address cannot be used.
+            If the address or a file of its TLS settings cannot be used.
         """
-        await self.runner.setup()
-        loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(self.runner.server, host, port)
-        if port:
-            return port
-        return self.server.sockets[0].getsockname()[1]
+        listener = await listen_http(self.runner, address)
+        self.server = listener.server
+        return listener.port
 
     async def stop(self, notice_s: float = NOTICE_S) -> bool:
         """Stop; tell whether every request in flight was answered.
--- a/src/limpetlanding/settings/__init__.py
+++ b/src/limpetlanding/settings/__init__.py
@@ -13,6 +13,8 @@
 from limpetlanding.settings.models import (
     Address,
     EmulatedDelay,
+    HttpAddress,
+    HttpTlsSettings,
     LogSettings,
     Settings,
     TlsSettings,
@@ -24,6 +26,8 @@
     'Document',
     'DocumentError',
     'EmulatedDelay',
+    'HttpAddress',
+    'HttpTlsSettings',
     'LogSettings',
     'Problem',
     'Settings',
--- a/src/limpetlanding/settings/models.py
+++ b/src/limpetlanding/settings/models.py
@@ -57,6 +57,19 @@
     port: Annotated[int, Field(ge=0, le=MAX_PORT)] = 0
 
 
+class HttpTlsSettings(_Strict):
+    """PEM files of an HTTP listener; its clients show no certificate."""
+
+    certificate: Path = Field(strict=False)
+    key: Path = Field(strict=False)
+
+
+class HttpAddress(Address):
+    """Where a process serves HTTP, and its TLS files if it uses TLS."""
+
+    tls: HttpTlsSettings | None = None
+
+
 class LogSettings(_Strict):
     """How an entry reaches the log service."""
 
@@ -108,7 +121,7 @@
     region: Name
     failure_domain: Name
     listen: Address = Address()
-    http: Address = Address()
+    http: HttpAddress = HttpAddress()
     # Host that peers use to reach this process; needed when it listens on
     # all interfaces.
     advertise_host: Host | None = None
--- a/src/limpetlanding/startup/__init__.py
+++ b/src/limpetlanding/startup/__init__.py
@@ -1,16 +1,20 @@
 """What the roles do alike when they start, run and stop."""
 
 from limpetlanding.startup.identity import new_hello
+from limpetlanding.startup.listener import HttpListener, listen_http
 from limpetlanding.startup.logs import start_logs, telemetry
 from limpetlanding.startup.metrics import process_metrics
 from limpetlanding.startup.node import node_options
 from limpetlanding.startup.signals import stop_on_signals
 from limpetlanding.startup.status import identity_status, wire_status
-from limpetlanding.startup.tls import client_tls, server_tls
+from limpetlanding.startup.tls import client_tls, http_tls, server_tls
 
 __all__ = (
+    'HttpListener',
     'client_tls',
+    'http_tls',
     'identity_status',
+    'listen_http',
     'new_hello',
     'node_options',
     'process_metrics',
--- a/src/limpetlanding/startup/tls.py
+++ b/src/limpetlanding/startup/tls.py
@@ -1,11 +1,12 @@
-"""TLS contexts of the links between processes.
+"""TLS contexts of the listeners and of the links between processes.
 
-Both sides show a certificate that the authority of the deployment signed.
+On links both sides show a certificate that the authority of the deployment
+signed. HTTP clients show none; callers are known by their customer key.
 """
 
 import ssl
 
-from limpetlanding.settings import TlsSettings
+from limpetlanding.settings import HttpTlsSettings, TlsSettings
 
 
 def server_tls(settings: TlsSettings) -> ssl.SSLContext:
@@ -30,6 +31,19 @@
     return _context(settings, ssl.Purpose.SERVER_AUTH)
 
 
+def http_tls(settings: HttpTlsSettings) -> ssl.SSLContext:
+    """Return the context of an HTTP listener.
+
+    Raises
+    ------
+    OSError
+        If a file cannot be used; `ssl.SSLError` is one.
+    """
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(settings.certificate, settings.key)
+    return context
+
+
 def _context(settings: TlsSettings, purpose: ssl.Purpose) -> ssl.SSLContext:
     context = ssl.create_default_context(
         purpose, cafile=str(settings.authority)
