--- /dev/null
+++ b/src/limpetlanding/scenarios/tests/features/bursts.feature
@@ -0,0 +1,20 @@
+Feature: Load arrives in bursts
+
+  Scenario Outline: <fault>
+    Given a system under load with seed 1
+    When after 1 s <fault>
+    Then every promise holds
+
+    Examples:
+      | fault                      |
+      | a burst of 80 jobs arrives |
+
+  Scenario Outline: twice <fault>
+    Given a system under load with seed 2
+    When after 1 s <fault>
+    And after 3 s <fault>
+    Then every promise holds
+
+    Examples:
+      | fault                      |
+      | a burst of 80 jobs arrives |
