--- a/src/limpetlanding/agent/role.py
+++ b/src/limpetlanding/agent/role.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import secrets
-import signal
-import ssl
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager, suppress
+from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -23,19 +21,25 @@
 from limpetlanding.agent.peers import Peers
 from limpetlanding.agent.records import RecordLimits
 from limpetlanding.agent.service import ServiceHooks, service
-from limpetlanding.jobs import new_incarnation
+from limpetlanding.config.replica import Replica as ConfigReplica
+from limpetlanding.errors import LimpetlandingError
 from limpetlanding.lifecycle import Lifecycle, ProcessState
 from limpetlanding.policy import make_queue
 from limpetlanding.settings import Settings
+from limpetlanding.startup import (
+    identity_status,
+    new_hello,
+    node_options,
+    stop_on_signals,
+    wire_status,
+)
 from limpetlanding.wire import (
-    PROTOCOL_VERSION,
     Channel,
     CoordinatorMoved,
     Hello,
     LoadReport,
     Members,
     Node,
-    NodeOptions,
 )
 
 TICK_S = 0.25
@@ -64,6 +68,9 @@
     async def handle(self, channel: Channel, message: Any) -> Any:
         """Serve a message of the configuration exchange."""
 
+    async def run(self, reads_log: Callable[[], bool]) -> None:
+        """Keep the replica current until cancelled."""
+
 
 class NoReplica:
     """Stands in where the agent is run without configuration."""
@@ -86,6 +93,10 @@
     async def handle(self, channel: Channel, message: Any) -> Any:
         """Ignore the message."""
 
+    async def run(self, reads_log: Callable[[], bool]) -> None:
+        """Wait until cancelled."""
+        await asyncio.Event().wait()
+
 
 @dataclass(slots=True)
 class AgentRole:
@@ -115,12 +126,12 @@
 
     def __post_init__(self) -> None:
         settings = self.settings
-        self.hello = _hello(settings)
+        self.hello = new_hello(settings)
         self.lifecycle = Lifecycle(ProcessState, settings.node)
         self.node = Node(
             self.hello,
             self._handle,
-            _node_options(settings),
+            node_options(settings),
             self.connect,
             self.serve,
         )
@@ -156,6 +167,7 @@
         work = [
             asyncio.create_task(self.reporter.run()),
             asyncio.create_task(self._tick()),
+            asyncio.create_task(self.replica.run(bool)),
         ]
         self.lifecycle.move(ProcessState.READY)
         logger.bind(step='start').info(
@@ -165,15 +177,36 @@
             self.hello.http_address,
         )
         try:
-            await self.stop_wanted.wait()
-            await self._drain()
+            await self._serve(work)
         finally:
-            for task in work:
-                task.cancel()
-            await self.node.stop()
-            await self.core.endpoints.close()
-            await runner.cleanup()
-            self.lifecycle.move(ProcessState.STOPPED)
+            await self._close(work, runner)
+
+    async def _serve(self, work: list[asyncio.Task[None]]) -> None:
+        """Wait for a stop, then drain.
+
+        A background task that ends is an error, raised after the drain: the
+        jobs and tasks held here do not depend on it.
+        """
+        stop = asyncio.create_task(self.stop_wanted.wait())
+        done, _ = await asyncio.wait(
+            (stop, *work), return_when=asyncio.FIRST_COMPLETED
+        )
+        stop.cancel()
+        await self._drain()
+        for task in done - {stop}:
+            task.result()
+            raise LimpetlandingError('a background task ended', step='run')
+
+    async def _close(
+        self, work: list[asyncio.Task[None]], runner: web.AppRunner
+    ) -> None:
+        for task in work:
+            task.cancel()
+        await asyncio.gather(*work, return_exceptions=True)
+        await self.node.stop()
+        await self.core.endpoints.close()
+        await runner.cleanup()
+        self.lifecycle.move(ProcessState.STOPPED)
 
     async def _start_http(self) -> web.AppRunner:
         hooks = ServiceHooks(
@@ -283,32 +316,15 @@
 
     def _status(self) -> dict[str, Any]:
         return {
-            'role': 'agent',
-            'node': self.hello.node,
-            'incarnation': self.hello.incarnation,
-            'region': self.hello.region,
-            'failure_domain': self.hello.failure_domain,
-            'address': self.hello.address,
-            'http_address': self.hello.http_address,
-            'state': self.lifecycle.state,
-            'missing': self._missing(),
+            **identity_status(
+                self.hello, self.lifecycle.state, self._missing()
+            ),
             **self.core.status(),
             'events': event_counts(self.core),
-            'wire': self._wire_status(),
+            'wire': wire_status(self.node.counters),
             **self.replica.status(),
         }
 
-    def _wire_status(self) -> dict[str, Any]:
-        counters = self.node.counters
-        return {
-            'messages_sent': dict(counters.sent.messages),
-            'bytes_sent': {
-                **counters.sent.byte_counts,
-                'hb': counters.sent.heartbeat_bytes,
-            },
-            **counters.events,
-        }
-
 
 async def run_agent(settings: Settings, replica: Replica | None = None) -> None:
     """Run an agent until SIGTERM, SIGINT or ``POST /drain``.
@@ -318,15 +334,16 @@
     settings : Settings
         Settings of the process.
     replica : Replica, optional
-        Replica of the configuration.
+        Replica of the configuration; by default one that pulls from the
+        entries.
 
     Raises
     ------
     OSError
         If an address cannot be used.
     """
-    role = AgentRole(settings, replica or NoReplica())
-    with _stop_on_signals(role.stop_wanted.set):
+    role = AgentRole(settings, replica or ConfigReplica(settings))
+    with stop_on_signals(role.stop_wanted.set):
         await role.run()
 
 
@@ -346,55 +363,3 @@
         ),
         lambda: make_queue(settings.policy, slots=0),
     )
-
-
-@contextmanager
-def _stop_on_signals(stop: Callable[[], None]) -> Iterator[None]:
-    loop = asyncio.get_running_loop()
-    numbers = (signal.SIGTERM, signal.SIGINT)
-    for number in numbers:
-        loop.add_signal_handler(number, stop)
-    try:
-        yield
-    finally:
-        for number in numbers:
-            loop.remove_signal_handler(number)
-
-
-def _hello(settings: Settings) -> Hello:
-    host = settings.advertise_host or settings.listen.host
-    return Hello(
-        PROTOCOL_VERSION,
-        'agent',
-        settings.node,
-        new_incarnation(),
-        settings.failure_domain,
-        f'{host}:{settings.listen.port}',
-        '',
-        settings.region,
-    )
-
-
-def _node_options(settings: Settings) -> NodeOptions:
-    delay = settings.emulated_delay_ms
-    listen = f'{settings.listen.host}:{settings.listen.port}'
-    options = NodeOptions(listen=listen)
-    if delay.own or delay.cross:
-        options.emulated_delay_ms = lambda here, there: (
-            delay.own if here == there else delay.cross
-        )
-    if settings.tls is not None:
-        options.server_tls = _tls(settings, ssl.Purpose.CLIENT_AUTH)
-        options.client_tls = _tls(settings, ssl.Purpose.SERVER_AUTH)
-    return options
-
-
-def _tls(settings: Settings, purpose: ssl.Purpose) -> ssl.SSLContext:
-    context = ssl.create_default_context(
-        purpose, cafile=str(settings.tls.authority)
-    )
-    context.load_cert_chain(settings.tls.certificate, settings.tls.key)
-    # Peers are addressed by IP address and trusted by their authority.
-    context.check_hostname = False
-    context.verify_mode = ssl.CERT_REQUIRED
-    return context
--- a/src/limpetlanding/entry/tests/test_system.py
+++ b/src/limpetlanding/entry/tests/test_system.py
@@ -109,6 +109,8 @@
 
 
 def _serving(entry, agents):
+    if entry._missing():
+        return False
     loads = entry.core.view.loads(entry.core.clock())
     return sum('cut' in load.by_kind for load in loads.values()) == agents
 
@@ -164,9 +166,6 @@
             for entry in system.entries:
                 entry.replica.by_customer['offcut'].may_refuse = []
             caller = system.callers[0]
-            # The load is above the capacity: 36 s of work on 12 slots in 1 s.
-            contract = system.entries[0].replica.by_customer['offcut']
-            contract.may_refuse = []
             ids = await caller.mint(60)
 
             async def submit(number, job_id):
