Bound the bodies that an entry holds at once

Cause: nothing bounded the requests in flight at an entry; at a peak the held bodies could pass the 256 MB of a node. Change: 64 MiB of bodies at most; further submissions get 503 without outcome, since the id is unchanged, and Retry-After.

--- a/src/limpetlanding/entry/http.py
+++ b/src/limpetlanding/entry/http.py
@@ -4,7 +4,8 @@
 import math
 import re
 import secrets
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from typing import Protocol
 
 import orjson
@@ -33,6 +34,11 @@
 """A body of 1 MiB takes under a second; a sender that stalls would hold the
 memory of its request and delay a planned stop."""
 
+MAX_HELD_BYTES = 64 * 1024 * 1024
+"""A quarter of the 256 MB of a node; payloads are held until their answer."""
+
+CROWDED_RETRY_MS = 1000
+
 REQUEST_ID = web.RequestKey('request_id', str)
 _REQUEST_ID_FORM = re.compile(r'[\x21-\x7e]{1,128}')
 _TRACEPARENT = re.compile(r'00-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}')
@@ -121,6 +127,7 @@
         self.jobs = jobs
         self.contracts = contracts
         self.max_body_bytes = max_body_bytes
+        self.held_bytes = 0
 
     def application(self) -> web.Application:
         """Return the aiohttp application with the routes of the API."""
@@ -160,6 +167,31 @@
     async def post_job(self, request: web.Request) -> web.StreamResponse:
         """Submit a job, or join it if its id is known."""
         contract = self._authenticated(request)
+        with self._room(request):
+            return await self._run_job(request, contract)
+
+    @contextmanager
+    def _room(self, request: web.Request) -> Iterator[None]:
+        """Count the body as held until the request has its answer.
+
+        Raises
+        ------
+        Crowded
+            If the bodies held would exceed `MAX_HELD_BYTES`.
+        """
+        # A body without a length may grow to the limit of one body.
+        held = request.content_length or self.max_body_bytes
+        if self.held_bytes + held > MAX_HELD_BYTES:
+            raise Crowded
+        self.held_bytes += held
+        try:
+            yield
+        finally:
+            self.held_bytes -= held
+
+    async def _run_job(
+        self, request: web.Request, contract: Contract
+    ) -> web.StreamResponse:
         submission = parse_submission(await self._body(request))
         if submission.job_id is not None:
             _check_id(submission.job_id)
@@ -226,6 +258,10 @@
         return _problem(request, problem)
 
 
+class Crowded(Exception):
+    """The bodies of the requests in flight fill the memory set aside."""
+
+
 class Unauthenticated(Exception):
     """The request names no customer key, or an unknown one."""
 
@@ -293,6 +329,10 @@
             return _malformed([FieldError('id', str(error))])
         case Unauthenticated():
             return _rejected(401, Reason.UNAUTHORIZED)
+        case Crowded():
+            problem = _rejected(503, Reason.OVERLOAD, 'too much in flight')
+            problem.retry_after_ms = CROWDED_RETRY_MS
+            return problem
         case web.HTTPException():
             return _of_http_error(error)
     logger.bind(
--- a/src/limpetlanding/entry/tests/test_http.py
+++ b/src/limpetlanding/entry/tests/test_http.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from limpetlanding.entry import http
 from limpetlanding.entry.api import MalformedRequest, parse_submission
 from limpetlanding.entry.tests.fakes import (
     KEY,
@@ -370,6 +371,26 @@
     return head + payload + b'}]}'
 
 
+class TestCrowding:
+    async def test_bodies_beyond_the_memory_are_turned_away(self, monkeypatch):
+        # Guards against an entry that runs out of memory at a peak.
+        monkeypatch.setattr(http, 'MAX_HELD_BYTES', 1000)
+        agent = FakeAgent(run_s=1)
+        async with entry(agent) as (_, caller, _):
+            first, second, third = await caller.mint(3)
+            large = 'x' * 600
+            running = asyncio.create_task(caller.submit(first, large))
+            await asyncio.sleep(0.5)
+            response, problem = await caller.submit(second, large)
+            assert (response.status, problem['outcome']) == (503, None)
+            assert response.headers['Retry-After'] == '1'
+            assert (await running)[1]['outcome'] == 'complete'
+            _, later = await caller.submit(second, large)
+        assert later['outcome'] == 'complete'
+        assert (second, 0) in agent.started
+        assert (third, 0) not in agent.started
+
+
 class TestMalformedRequests:
     @pytest.mark.parametrize(
         ('changes', 'field'),
