Judge deadlines strictly only when the backlog delays other work

Cause: at 80% load 8 to 11 of 10 to 12 refusals were for the deadline: above a backlog of 50 ms every job had to be on time in 9 of 10 cases. Change: the strict margin applies from the backlog at which customers over their share are refused (150 ms); one constant less.

--- a/src/limpetlanding/policy/admission.py
+++ b/src/limpetlanding/policy/admission.py
@@ -9,9 +9,6 @@
 from limpetlanding.policy.load import SystemLoad
 from limpetlanding.policy.retries import retry_after
 
-BUSY_BACKLOG_MS = 50
-"""Above this backlog admitted work delays other work."""
-
 OVER_SHARE_BACKLOG_MS = 150
 """Above this backlog only customers inside their peak share are admitted. It
 keeps all slots busy between two load reports (20 ms) and leaves customers
@@ -186,10 +183,10 @@
         """Admit or refuse a whole job; an admitted one is counted.
 
         - The contract limits hold at any load.
-        - While work is queued, a job is refused unless it ends in time in 9
-          of 10 cases, judged by this customer's past predictions. While
-          nothing is queued, it delays nobody and is refused only if it would
-          be late in 9 of 10 cases.
+        - Above `OVER_SHARE_BACKLOG_MS` a job is refused unless it ends in
+          time in 9 of 10 cases, judged by this customer's past predictions.
+          Below, it takes no slot that other work needs, and is refused only
+          if it would be late in 9 of 10 cases.
         - Above `OVER_SHARE_BACKLOG_MS` customers over their peak share are
           refused; the share shrinks to 0 at `MAX_BACKLOG_MS`.
 
@@ -290,7 +287,8 @@
         return True
     if 'deadline' not in limits.may_refuse:
         return False
-    busy = system.backlog_for(request.is_long) > BUSY_BACKLOG_MS
+    backlog_ms = system.backlog_for(request.is_long)
+    busy = backlog_ms > OVER_SHARE_BACKLOG_MS
     ratio = usage.errors.high if busy else usage.errors.low
     return predicted_ms * ratio > request.remaining_ms
 
