Remove a second wire status, unused names and a doubled replica

Cause: read-through of the whole change. Counters.status stood beside startup.wire_status and had no caller; is_gone and three bench constants had none either; the command line built the replica that both roles build by default; the entry repeated the number of log readers as a literal. Behaviour is unchanged.

--- a/src/limpetlanding/bench/demo.py
+++ b/src/limpetlanding/bench/demo.py
@@ -18,7 +18,6 @@
 
 DEMO_LOAD = 0.5
 DEMO_SECONDS = 5
-DEMO_WORKERS = 11
 
 
 def demo(
--- a/src/limpetlanding/bench/deployments.py
+++ b/src/limpetlanding/bench/deployments.py
@@ -5,7 +5,6 @@
 ENDPOINTS = 11
 ENTRIES = 3
 SLOTS = 8
-CONNECTIONS = 64
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/limpetlanding/bench/system.py
+++ b/src/limpetlanding/bench/system.py
@@ -28,7 +28,6 @@
 from limpetlanding.logservice import LogClient
 
 START_TIMEOUT_S = 60
-STOP_TIMEOUT_S = 20
 READY_POLL_S = 0.1
 _HOST = '127.0.0.1'
 _HTTP_TIMEOUT = aiohttp.ClientTimeout(total=2)
--- a/src/limpetlanding/cli/main.py
+++ b/src/limpetlanding/cli/main.py
@@ -19,26 +19,18 @@
 
 def entry(settings: str) -> None:
     """Run an entry with the settings file SETTINGS."""
-    from limpetlanding.config import Replica
     from limpetlanding.entry.role import run_entry
     from limpetlanding.startup.loop import run_process
 
-    async def run(checked: Settings) -> None:
-        await run_entry(checked, Replica(checked))
-
-    run_process(run(_settings_for('entry', settings)))
+    run_process(run_entry(_settings_for('entry', settings)))
 
 
 def agent(settings: str) -> None:
     """Run an agent with the settings file SETTINGS."""
     from limpetlanding.agent.role import run_agent
-    from limpetlanding.config import Replica
     from limpetlanding.startup.loop import run_process
 
-    async def run(checked: Settings) -> None:
-        await run_agent(checked, Replica(checked))
-
-    run_process(run(_settings_for('agent', settings)))
+    run_process(run_agent(_settings_for('agent', settings)))
 
 
 def check_settings(file: str, *, json: bool = False) -> str:
--- a/src/limpetlanding/entry/role.py
+++ b/src/limpetlanding/entry/role.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from limpetlanding.config.reader import READERS_PER_REGION
 from limpetlanding.config.replica import Replica as ConfigReplica
 from limpetlanding.entry.admission import PolicyParts, deadline_of
 from limpetlanding.entry.api import Submission
@@ -225,7 +226,7 @@
 
     def _reads_log(self) -> bool:
         """Tell whether this entry is one of the two that read the log."""
-        readers = self.members.live(self.settings.region)[:2]
+        readers = self.members.live(self.settings.region)[:READERS_PER_REGION]
         return self.hello.node in readers
 
     def _unready(self) -> str:
--- a/src/limpetlanding/wire/counters.py
+++ b/src/limpetlanding/wire/counters.py
@@ -42,17 +42,3 @@
     sent: Traffic = field(default_factory=Traffic)
     received: Traffic = field(default_factory=Traffic)
     events: Counter[str] = field(default_factory=Counter)
-
-    def status(self) -> dict[str, object]:
-        """Return messages and bytes sent by tag, and the events by name."""
-        return {
-            'messages_sent': {
-                **self.sent.messages,
-                'hb': self.sent.heartbeats,
-            },
-            'bytes_sent': {
-                **self.sent.byte_counts,
-                'hb': self.sent.heartbeat_bytes,
-            },
-            **self.events,
-        }
--- a/src/limpetlanding/wire/peers.py
+++ b/src/limpetlanding/wire/peers.py
@@ -66,10 +66,6 @@
         channels = self.at_address.get(address)
         return channels[-1] if channels else None
 
-    def is_gone(self, node: str, incarnation: str) -> bool:
-        """Whether another incarnation has taken the peer's address."""
-        return (node, incarnation) in self.gone
-
     def link_up(self, hello: Hello, link: Link, dialed: str) -> Channel:
         """Register a link after the exchange of the first frames.
 
