--- /dev/null
+++ b/src/limpetlanding/platform/control.py
@@ -0,0 +1,32 @@
+"""HTTP interface for the executor on the same machine."""
+
+from aiohttp import web
+from loguru import logger
+
+from limpetlanding.platform.decode import Malformed, decode_executor
+from limpetlanding.runs import Worker
+
+
+def control_app(worker: Worker) -> web.Application:
+    """Return the application to which the executor announces itself."""
+
+    async def announce(request: web.Request) -> web.Response:
+        executor_id = request.match_info['id']
+        body = await request.read()
+        try:
+            worker.announce(decode_executor(executor_id, body))
+        except Malformed as error:
+            logger.bind(step='announce', peer=executor_id).info(
+                'announcement ignored: {}', error.detail
+            )
+            return web.Response(status=400, text=error.detail)
+        return web.json_response({})
+
+    async def leave(request: web.Request) -> web.Response:
+        worker.leave(request.match_info['id'])
+        return web.json_response({})
+
+    app = web.Application()
+    app.router.add_put('/api/instances/{id}', announce)
+    app.router.add_delete('/api/instances/{id}', leave)
+    return app
--- /dev/null
+++ b/src/limpetlanding/platform/decode.py
@@ -0,0 +1,225 @@
+"""Decodes the platform's bodies into the types of `limpetlanding.runs`."""
+
+from typing import Any
+
+import orjson
+
+from limpetlanding.errors import LimpetlandingError
+from limpetlanding.runs.model import Catalog, Job, Queue, Room, RunEnd, Step
+from limpetlanding.runs.ports import ActiveRun, EndedRun, Executor, Inventory
+
+MAX_TASKS = 100
+"""Tasks of one step; the platform's jobs have up to this many."""
+
+_ENDS = {
+    'done': RunEnd.DONE,
+    'failed': RunEnd.FAILED,
+    'stopped': RunEnd.STOPPED,
+    'lapsed': RunEnd.LAPSED,
+    # Another member of the group ended, or the others did not come.
+    'broken': RunEnd.LAPSED,
+    'alone': RunEnd.LAPSED,
+}
+_STATES = frozenset(('ready', 'draining'))
+# Kinds of work that need a record in the store, which is not built yet.
+_UNSUPPORTED_STEP = ('gang', 'longRunning', 'fills')
+
+
+class Malformed(LimpetlandingError):
+    """A body does not have the form that the platform describes."""
+
+
+class Unsupported(LimpetlandingError):
+    """A kind of job that this version does not run."""
+
+
+def load_object(body: bytes, step: str) -> dict[str, Any]:
+    """Return the JSON object in a body.
+
+    Raises
+    ------
+    Malformed
+        If the body is not a JSON object.
+    """
+    try:
+        fields = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise Malformed(f'not JSON: {error}', step=step) from error
+    if not isinstance(fields, dict):
+        raise Malformed('not a JSON object', step=step)
+    return fields
+
+
+def decode_job(job_id: str, body: bytes) -> Job:
+    """Return the submitted job.
+
+    Raises
+    ------
+    Malformed
+        If a field is missing or wrong.
+    Unsupported
+        If it needs a kind of work that is not built.
+
+    Examples
+    --------
+    >>> job = decode_job('5c0e7a21d94b36f8', b'''{"spec": "x",
+    ...     "bestEffort": true, "pipeline": [{"count": 2, "cpu": 500}]}''')
+    >>> job.steps[0].count, job.steps[0].need
+    (2, Room(cpu=500, memory_mb=0, gpu=0))
+    """
+    fields = load_object(body, 'submit')
+    spec = _field(fields, 'spec', str, '', 'submit')
+    if not fields.get('bestEffort'):
+        raise Unsupported('jobs that must be stored', step='submit')
+    if fields.get('repeatCount'):
+        raise Unsupported('repeated jobs', step='submit')
+    pipeline = _field(fields, 'pipeline', list, [], 'submit')
+    if not pipeline:
+        raise Malformed('pipeline is empty', step='submit')
+    steps = [_decode_step(index, step) for index, step in enumerate(pipeline)]
+    return Job(job_id, spec, tuple(steps))
+
+
+def decode_catalog(body: bytes) -> Catalog:
+    """Return the configuration.
+
+    Raises
+    ------
+    Malformed
+        If it cannot be used.
+    """
+    fields = load_object(body, 'configure')
+    limits = _field(fields, 'limits', dict, {}, 'configure')
+    routes = _field(fields, 'routes', list, [], 'configure')
+    return Catalog(
+        version=_field(fields, 'version', int, 0, 'configure'),
+        queues=[_decode_queue(route) for route in routes],
+        max_body_bytes=_field(
+            limits, 'maxBodyBytes', int, 262_144, 'configure'
+        ),
+    )
+
+
+def decode_executor(executor_id: str, body: bytes) -> Executor:
+    """Return what an executor announces of itself.
+
+    Raises
+    ------
+    Malformed
+        If a field is missing, of another type, or names an unknown state.
+    """
+    fields = load_object(body, 'announce')
+    state = _required(fields, 'state', str, 'announce')
+    if state not in _STATES:
+        raise Malformed(f'unknown state {state!r}', step='announce')
+    labels = _field(fields, 'labels', list, [], 'announce')
+    room = _required(fields, 'capacity', dict, 'announce')
+    _required(fields, 'address', str, 'announce')
+    return Executor(
+        executor_id=executor_id,
+        born_ms=_field(fields, 'born', int, 0, 'announce'),
+        pool=_required(fields, 'service', str, 'announce'),
+        capacity=_decode_room(room, 'announce'),
+        labels=tuple(str(label) for label in labels),
+        draining=state == 'draining',
+        sequence=_required(fields, 'seq', int, 'announce'),
+    )
+
+
+def decode_inventory(body: bytes) -> Inventory:
+    """Return the runs that an executor lists.
+
+    Raises
+    ------
+    Malformed
+        If the lists cannot be read.
+    """
+    fields = load_object(body, 'look')
+    try:
+        active = [
+            ActiveRun(row[0], row[1], float(row[3]))
+            for row in fields['running']
+        ]
+        ended = [
+            EndedRun(row[0], row[1], row[2], _ENDS[row[3]])
+            for row in fields['endedRuns']
+        ]
+    except (LookupError, TypeError, ValueError) as error:
+        raise Malformed(f'lists of runs: {error!r}', step='look') from error
+    return Inventory(
+        clock_ms=_required(fields, 'clockMs', int, 'look'),
+        born_ms=_field(fields, 'born', int, 0, 'look'),
+        active=active,
+        ended=sorted(ended, key=lambda end: end.number),
+    )
+
+
+def _decode_step(index: int, fields: Any) -> Step:
+    if not isinstance(fields, dict):
+        raise Malformed(f'step {index} is not an object', step='submit')
+    for name in _UNSUPPORTED_STEP:
+        if fields.get(name):
+            raise Unsupported(f'steps with {name}', step='submit')
+    count = _field(fields, 'count', int, 1, 'submit')
+    if not 1 <= count <= MAX_TASKS:
+        raise Malformed(f'step {index}: count {count}', step='submit')
+    after = tuple(_field(fields, 'dependsOn', list, [], 'submit'))
+    if not all(isinstance(x, int) and 0 <= x < index for x in after):
+        raise Malformed(f'step {index}: dependsOn {after}', step='submit')
+    return Step(
+        count=count,
+        need=_decode_room(fields, 'submit'),
+        estimate_ms=float(_number(fields, 'estimateMs', 'submit')),
+        after=after,
+        label=_field(fields, 'requirements', str, '', 'submit'),
+        near=_field(fields, 'affinity', str, '', 'submit'),
+        most_per_worker=_field(fields, 'antiAffinity', int, 0, 'submit'),
+    )
+
+
+def _decode_queue(fields: Any) -> Queue:
+    if not isinstance(fields, dict):
+        raise Malformed('a route is not an object', step='configure')
+    return Queue(
+        name=_field(fields, 'name', str, '', 'configure'),
+        host=_required(fields, 'host', str, 'configure').lower(),
+        prefix=_required(fields, 'pathPrefix', str, 'configure'),
+        pool=_required(fields, 'service', str, 'configure'),
+        priority=_field(fields, 'priority', int, 0, 'configure'),
+        max_attempts=_field(fields, 'maxAttempts', int, 1, 'configure'),
+        stretch=float(_number(fields, 'stretch', 'configure') or 1),
+        target_ms=float(_number(fields, 'targetLatencyMs', 'configure')),
+    )
+
+
+def _decode_room(fields: dict[str, Any], step: str) -> Room:
+    return Room(
+        cpu=_field(fields, 'cpu', int, 0, step),
+        memory_mb=_field(fields, 'memMb', int, 0, step),
+        gpu=_field(fields, 'gpu', int, 0, step),
+    )
+
+
+def _number(fields: dict[str, Any], name: str, step: str) -> float:
+    value = fields.get(name) or 0
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise Malformed(f'{name}: expected a number', step=step)
+    return value
+
+
+def _field(
+    fields: dict[str, Any], name: str, kind: type, default: Any, step: str
+) -> Any:
+    # The platform omits fields whose value is zero, false or empty.
+    value = fields.get(name)
+    if value is None:
+        return default
+    if value.__class__ is not kind:
+        raise Malformed(f'{name}: expected {kind.__name__}', step=step)
+    return value
+
+
+def _required(fields: dict[str, Any], name: str, kind: type, step: str) -> Any:
+    if name not in fields:
+        raise Malformed(f'{name} is missing', step=step)
+    return _field(fields, name, kind, None, step)
--- /dev/null
+++ b/src/limpetlanding/platform/executor.py
@@ -0,0 +1,143 @@
+"""Client of the executor on the same machine."""
+
+from typing import Any
+
+import aiohttp
+import orjson
+
+from limpetlanding.platform.decode import (
+    Malformed,
+    decode_inventory,
+    load_object,
+)
+from limpetlanding.runs.ports import (
+    ExecutorReplaced,
+    ExecutorSilent,
+    Inventory,
+    StartOrder,
+    StartReply,
+)
+
+MAX_CONNECTIONS = 12
+"""An executor takes 64; a pool keeps the number of new ones small."""
+
+KEEP_ALIVE_S = 600
+"""Opening a connection is priced, keeping it is not."""
+
+_EXPECTED = 'X-Expect-Instance'
+_OK = 200
+_MISDIRECTED = 421
+_UNHEALTHY = frozenset((429, 503))
+_REFUSALS = {'late': 'expired', 'old': 'outdated', 'room': 'full'}
+
+
+class ExecutorClient:
+    """Calls to the executor at one address.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=MAX_CONNECTIONS, keepalive_timeout=KEEP_ALIVE_S
+            ),
+            timeout=aiohttp.ClientTimeout(total=None),
+        )
+
+    async def start(self, executor_id: str, order: StartOrder) -> StartReply:
+        """Start a run; see `ExecutorPort`."""
+        body = {
+            'task': order.task,
+            'run': order.run,
+            'spec': order.spec,
+            'deadlineMs': order.lease_until_ms,
+        }
+        if order.checkpoint:
+            body['checkpoint'] = order.checkpoint
+        status, content = await self._call('run-start', executor_id, body)
+        if status in _UNHEALTHY:
+            return StartReply(None, 'unhealthy')
+        fields = _load(content, self.address) if content else {}
+        clock_ms = fields.get('clockMs')
+        if status == _OK:
+            return StartReply(clock_ms)
+        reason = _REFUSALS.get(str(fields.get('reason')), 'invalid')
+        return StartReply(clock_ms, reason)
+
+    async def stop(self, executor_id: str, task: str, run: int) -> None:
+        """Stop a run; see `ExecutorPort`."""
+        status, _ = await self._call(
+            'run-stop', executor_id, {'task': task, 'run': run}
+        )
+        if status != _OK:
+            raise ExecutorSilent(
+                f'status {status}', step='stop', peer=self.address
+            )
+
+    async def inventory(
+        self,
+        executor_id: str,
+        acknowledged: int,
+        lease_until_ms: int | None,
+        wait_ms: int,
+    ) -> Inventory:
+        """Renew the lease and list the runs; see `ExecutorPort`."""
+        body = {'ackedThrough': acknowledged}
+        if lease_until_ms is not None:
+            body['deadlineMs'] = lease_until_ms
+        if wait_ms:
+            body['waitMs'] = wait_ms
+        status, content = await self._call('hold', executor_id, body)
+        if status != _OK:
+            raise ExecutorSilent(
+                f'status {status}', step='look', peer=self.address
+            )
+        try:
+            return decode_inventory(content)
+        except Malformed as error:
+            raise ExecutorSilent(
+                error.detail, step='look', peer=self.address
+            ) from error
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
+
+    async def _call(
+        self, name: str, executor_id: str, body: dict[str, Any]
+    ) -> tuple[int, bytes]:
+        try:
+            async with self.session.post(
+                f'http://{self.address}/api/{name}',
+                data=orjson.dumps(body),
+                headers={
+                    _EXPECTED: executor_id,
+                    'Content-Type': 'application/json',
+                },
+            ) as response:
+                content = await response.read()
+        except (aiohttp.ClientError, OSError) as error:
+            raise ExecutorSilent(
+                repr(error), step=name, peer=self.address
+            ) from error
+        if response.status == _MISDIRECTED:
+            raise ExecutorReplaced(
+                'another executor is at the address',
+                step=name,
+                peer=self.address,
+            )
+        return response.status, content
+
+
+def _load(content: bytes, address: str) -> dict[str, Any]:
+    try:
+        return load_object(content, 'start')
+    except Malformed as error:
+        raise ExecutorSilent(
+            error.detail, step='start', peer=address
+        ) from error
--- /dev/null
+++ b/src/limpetlanding/platform/ingress.py
@@ -0,0 +1,135 @@
+"""HTTP interface for the platform's clients and its load balancer."""
+
+import re
+
+import orjson
+from aiohttp import web
+from loguru import logger
+
+from limpetlanding.platform.decode import Malformed, Unsupported, decode_job
+from limpetlanding.runs import Front, GivenUp, JobState, NotRun, Queue
+
+DEFAULT_WAIT_S = 30
+"""Wait for clients that do not say how long they wait."""
+
+ANSWER_MARGIN_S = 0.02
+"""Time for the answer to reach a client before it stops waiting."""
+
+RETRY_AFTER_S = 1
+
+_DEADLINE = 'X-Deadline-Ms'
+_JOB_ID = re.compile('[0-9a-f]{16}')
+
+
+def client_app(front: Front) -> web.Application:
+    """Return the application for clients."""
+
+    async def serve(request: web.Request) -> web.Response:
+        response = await _serve(front, request)
+        if front.stopping:
+            response.force_close()
+        return response
+
+    app = web.Application(client_max_size=16 * 1024 * 1024)
+    app.router.add_route('*', '/{path:.*}', serve)
+    return app
+
+
+def readiness_app(front: Front) -> web.Application:
+    """Return the application for the load balancer."""
+
+    async def ready(_request: web.Request) -> web.Response:
+        missing = front.missing()
+        return web.Response(status=503 if missing else 200, text=missing)
+
+    app = web.Application()
+    app.router.add_get('/api/ready', ready)
+    return app
+
+
+async def _serve(front: Front, request: web.Request) -> web.Response:
+    if not front.catalogs.version:
+        return _refuse('no configuration yet')
+    host = request.host.partition(':')[0].lower()
+    queue = front.catalogs.find(host, request.path)
+    if queue is None:
+        return _answer(404, error='no such queue')
+    job_id = request.path.removeprefix(queue.prefix)
+    if not job_id and request.method == 'GET':
+        return _answer(200, waiting=front.dispatcher.waiting_count(queue))
+    if not _JOB_ID.fullmatch(job_id):
+        return _answer(404, error='no such path')
+    if request.method == 'POST':
+        return await _submit(front, queue, job_id, request)
+    active = front.dispatcher.jobs.get(job_id)
+    if active is None:
+        return _answer(410, error='no such job')
+    if request.method == 'DELETE':
+        front.dispatcher.cancel(job_id)
+        return _answer(200)
+    state = 'running' if active.ever_ordered else 'queued'
+    return _answer(200, state=state)
+
+
+async def _submit(
+    front: Front, queue: Queue, job_id: str, request: web.Request
+) -> web.Response:
+    catalog = front.catalogs.catalog
+    body = await request.read()
+    if len(body) > catalog.max_body_bytes:
+        return _answer(413, error='body too large')
+    try:
+        job = decode_job(job_id, body)
+        wait_s = _wait_s(request)
+    except Malformed as error:
+        return _answer(400, error=error.detail)
+    except Unsupported as error:
+        logger.bind(request_id=job_id, step='submit').info(
+            'refused: {}', error.detail
+        )
+        return _refuse(error.detail)
+    log = logger.bind(
+        request_id=job_id,
+        queue=queue.name,
+        version=catalog.version,
+        wait_ms=round(wait_s * 1000),
+    )
+    try:
+        state = await front.dispatcher.submit(
+            job, queue, wait_s, catalog.version
+        )
+    except NotRun as error:
+        log.info('not run: {}', error.detail)
+        return _refuse(error.detail)
+    except GivenUp as error:
+        log.info('given up: {}', error.detail)
+        return _answer(504, error=error.detail)
+    return _answer(200, state=_state_name(state))
+
+
+def _wait_s(request: web.Request) -> float:
+    value = request.headers.get(_DEADLINE)
+    if value is None:
+        return DEFAULT_WAIT_S
+    try:
+        return max(int(value) / 1000 - ANSWER_MARGIN_S, 0)
+    except ValueError as error:
+        raise Malformed(f'{_DEADLINE}: {value!r}', step='submit') from error
+
+
+def _state_name(state: JobState) -> str:
+    return state.value
+
+
+def _refuse(detail: str) -> web.Response:
+    response = _answer(503, error=detail)
+    response.headers['Retry-After'] = str(RETRY_AFTER_S)
+    return response
+
+
+def _answer(status: int, **fields: object) -> web.Response:
+    return web.Response(
+        status=status,
+        body=orjson.dumps(fields),
+        content_type='application/json',
+    )
--- /dev/null
+++ b/src/limpetlanding/platform/roles.py
@@ -0,0 +1,275 @@
+"""Processes on the platform: a front and a worker."""
+
+import asyncio
+import signal
+import sys
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
+from contextlib import (
+    AsyncExitStack,
+    asynccontextmanager,
+    contextmanager,
+    suppress,
+)
+from pathlib import Path
+from random import SystemRandom
+from typing import Any
+
+from aiohttp import web
+from loguru import logger
+
+from limpetlanding.jobs import new_incarnation
+from limpetlanding.platform.control import control_app
+from limpetlanding.platform.executor import ExecutorClient
+from limpetlanding.platform.ingress import client_app, readiness_app
+from limpetlanding.platform.settings import (
+    ProcessSettings,
+    SettingsError,
+    read_settings,
+    settings_path,
+)
+from limpetlanding.platform.store import LogStore
+from limpetlanding.runs import Front, Worker
+from limpetlanding.runs.backoff import FIRST_PAUSE_S, MAX_PAUSE_S
+from limpetlanding.runs.ports import StorePort, StoreUnavailable
+from limpetlanding.startup.logs import start_logs
+from limpetlanding.telemetry.logs import configure_logs
+from limpetlanding.telemetry.output import BoundedOutput
+from limpetlanding.wire import (
+    PROTOCOL_VERSION,
+    Hello,
+    Node,
+    NodeOptions,
+    Timing,
+)
+
+LINKS = Timing(
+    heartbeat_s=0.15,
+    digest_s=2,
+    silence_s=0.45,
+    suspect_s=0.35,
+    down_s=0.3,
+    hello_s=0.5,
+    redial_min_s=0.05,
+    redial_max_s=0.3,
+)
+"""A worker gives up a silent front after 0.75 s, so that its runs have ended
+before a client sends a job again 1.3 s after its connection broke."""
+
+SETTINGS_INTERVAL_S = 1
+"""The settings file may change without a signal."""
+
+BALANCER_S = 2.5
+"""The load balancer takes a front out after two missed checks, one a second."""
+
+EXIT_MARGIN_S = 0.7
+"""Time kept at the end of the grace period for stopping runs."""
+
+
+async def run_front() -> None:
+    """Serve clients until SIGTERM, then finish what has begun."""
+    settings = _begin('front')
+    async with AsyncExitStack() as stack:
+        node = await stack.enter_async_context(_linked('front', settings))
+        store = LogStore(settings.store_address)
+        stack.push_async_callback(store.close)
+        front = Front(node, store, settings.seeds, SystemRandom())
+        await node.start()
+        await stack.enter_async_context(_running(front.run()))
+        for app, address in (
+            (readiness_app(front), settings.readiness_address),
+            (client_app(front), settings.client_address),
+        ):
+            await stack.enter_async_context(_served(app, address))
+        await stack.enter_async_context(
+            _running(_follow_settings(lambda x: front.use_seeds(x.seeds)))
+        )
+        await _terminated()
+        front.stopping = True
+        await _finish_jobs(front, settings.grace_s - EXIT_MARGIN_S)
+    logger.bind(step='stop').info('stopped')
+
+
+async def run_worker() -> None:
+    """Serve the executor beside this process until SIGTERM."""
+    settings = _begin('worker')
+    async with AsyncExitStack() as stack:
+        node = await stack.enter_async_context(_linked('worker', settings))
+        store = LogStore(settings.store_address)
+        stack.push_async_callback(store.close)
+        worker = Worker(node, ExecutorClient(settings.executor_address))
+        stack.push_async_callback(worker.keeper.close)
+        await node.start()
+        await stack.enter_async_context(
+            _served(control_app(worker), settings.control_address)
+        )
+        dial = _dial_seeds(node)
+        dial(settings)
+        await stack.enter_async_context(_running(worker.run()))
+        await stack.enter_async_context(
+            _running(_register(store, settings.node, settings.address))
+        )
+        await stack.enter_async_context(_running(_follow_settings(dial)))
+        await _terminated()
+        await worker.drain(settings.grace_s - EXIT_MARGIN_S)
+    logger.bind(step='stop').info('stopped')
+
+
+def _begin(role: str) -> ProcessSettings:
+    settings = read_settings(settings_path())
+    start_logs('INFO', role, settings.node)
+    configure_logs(
+        'INFO',
+        BoundedOutput(sys.stdout.fileno()).write,
+        role=role,
+        node=settings.node,
+    )
+    logger.bind(step='start', address=settings.address).info('started')
+    return settings
+
+
+@asynccontextmanager
+async def _linked(role: str, settings: ProcessSettings) -> AsyncIterator[Node]:
+    hello = Hello(
+        PROTOCOL_VERSION,
+        role,
+        settings.node,
+        new_incarnation(),
+        settings.failure_domain,
+        settings.address,
+        settings.client_address,
+        settings.region,
+    )
+    node = Node(hello, _no_handler, NodeOptions(timing=LINKS))
+    try:
+        yield node
+    finally:
+        await node.stop(drain=False)
+
+
+async def _no_handler(_channel: Any, _message: Any) -> None:
+    """Stand in until the role has set its handler."""
+
+
+@asynccontextmanager
+async def _served(app: web.Application, address: str) -> AsyncIterator[None]:
+    host, _, port = address.rpartition(':')
+    runner = web.AppRunner(
+        app, access_log=None, handler_cancellation=True, shutdown_timeout=0.2
+    )
+    await runner.setup()
+    server = await asyncio.get_running_loop().create_server(
+        runner.server, host, int(port), backlog=1024
+    )
+    try:
+        yield
+    finally:
+        server.close()
+        await runner.cleanup()
+
+
+@asynccontextmanager
+async def _running(work: Coroutine[Any, Any, None]) -> AsyncIterator[None]:
+    task = asyncio.create_task(work)
+    task.add_done_callback(_report_failure)
+    try:
+        yield
+    finally:
+        task.cancel()
+        await asyncio.wait([task])
+
+
+def _report_failure(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        logger.bind(step='run').opt(exception=task.exception()).error(
+            'background task failed'
+        )
+
+
+async def _terminated() -> None:
+    stop = asyncio.Event()
+    with (
+        _on_signal(signal.SIGTERM, stop.set),
+        _on_signal(signal.SIGINT, stop.set),
+    ):
+        await stop.wait()
+    logger.bind(step='stop').info('asked to stop')
+
+
+@contextmanager
+def _on_signal(number: int, act: Callable[[], None]) -> Iterator[None]:
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(number, act)
+    try:
+        yield
+    finally:
+        loop.remove_signal_handler(number)
+        # Another signal must not cut short what is being finished.
+        signal.signal(number, signal.SIG_IGN)
+
+
+async def _finish_jobs(front: Front, most_s: float) -> None:
+    loop = asyncio.get_running_loop()
+    begin = loop.time()
+    while loop.time() < begin + most_s:
+        if not front.dispatcher.jobs and loop.time() > begin + BALANCER_S:
+            return
+        await asyncio.sleep(0.05)
+
+
+async def _register(store: StorePort, name: str, address: str) -> None:
+    pause_s = FIRST_PAUSE_S
+    while True:
+        try:
+            await store.register_worker(name, address)
+        except StoreUnavailable as error:
+            logger.bind(step='register').info('not registered yet: {}', error)
+        else:
+            return
+        await asyncio.sleep(pause_s * SystemRandom().uniform(0.5, 1))
+        pause_s = min(2 * pause_s, MAX_PAUSE_S)
+
+
+def _dial_seeds(node: Node) -> Callable[[ProcessSettings], None]:
+    known: set[str] = set()
+
+    def dial(settings: ProcessSettings) -> None:
+        for address in set(settings.seeds) - known:
+            known.add(address)
+            node.keep_dialing(address)
+
+    return dial
+
+
+async def _follow_settings(apply: Callable[[ProcessSettings], None]) -> None:
+    path = settings_path()
+    asked = asyncio.Event()
+    applied = _modified(path)
+    with _on_signal(signal.SIGHUP, asked.set):
+        while True:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(SETTINGS_INTERVAL_S):
+                    await asked.wait()
+            newest = _modified(path)
+            if asked.is_set() or newest != applied:
+                asked.clear()
+                applied = newest
+                _apply_settings(path, apply)
+
+
+def _modified(path: Path) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except FileNotFoundError:
+        # The file is missing for a moment while it is replaced.
+        return 0
+
+
+def _apply_settings(
+    path: Path, apply: Callable[[ProcessSettings], None]
+) -> None:
+    try:
+        apply(read_settings(path))
+    except SettingsError as error:
+        logger.bind(step='reload').error('settings kept: {}', error)
+    else:
+        logger.bind(step='reload').info('settings read again')
--- /dev/null
+++ b/src/limpetlanding/platform/store.py
@@ -0,0 +1,221 @@
+"""Client of the platform's store, a log with keyed topics."""
+
+import asyncio
+import base64
+from collections.abc import AsyncIterator, Iterator
+
+import aiohttp
+import orjson
+from loguru import logger
+
+from limpetlanding.platform.decode import Malformed, decode_catalog
+from limpetlanding.runs.model import Catalog
+from limpetlanding.runs.ports import StoreUnavailable
+
+CONFIG_TOPIC = 'keyed.op'
+CONFIG_KEY = 'config'
+WORKERS_TOPIC = 'keyed.workers'
+
+CONFIG_WAIT_MS = 700
+CONFIG_TIMEOUT_S = 1.3
+"""A change has to be in force within 2 s, also if the connection on which it
+is awaited has gone silent."""
+
+WORKERS_WAIT_MS = 3000
+WORKERS_TIMEOUT_S = 4
+"""Workers announce themselves to fronts as well, so this is less urgent."""
+
+CALL_TIMEOUT_S = 1
+"""The store answers in 4 ms, or in 240 ms while it is slow."""
+
+_OK = 200
+_GONE = 410
+_NUMBER_BYTES = 8
+_LENGTH_BYTES = 4
+
+
+class LogStore:
+    """Calls to the store.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=None)
+        )
+
+    async def newest_catalog(self) -> Catalog | None:
+        """Return the newest configuration; see `StorePort`."""
+        newest, _ = await self._newest(CONFIG_TOPIC)
+        return _catalog(newest.get(CONFIG_KEY))
+
+    async def catalogs(self) -> AsyncIterator[Catalog]:
+        """Yield configurations as they are published."""
+        async for changes in self._changes(
+            CONFIG_TOPIC, CONFIG_WAIT_MS, CONFIG_TIMEOUT_S
+        ):
+            catalog = _catalog(changes.get(CONFIG_KEY))
+            if catalog is not None:
+                yield catalog
+
+    async def register_worker(self, name: str, address: str) -> None:
+        """Record the address of a worker; see `StorePort`."""
+        record = _keyed_record(name.encode(), address.encode())
+        await self._call(
+            'POST',
+            'log-append',
+            {'topic': WORKERS_TOPIC, 'part': '0'},
+            CALL_TIMEOUT_S,
+            record,
+        )
+
+    async def workers(self) -> AsyncIterator[dict[str, str]]:
+        """Yield addresses by name as workers register."""
+        async for changes in self._changes(
+            WORKERS_TOPIC, WORKERS_WAIT_MS, WORKERS_TIMEOUT_S
+        ):
+            yield {key: value.decode() for key, value in changes.items()}
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
+
+    async def _changes(
+        self, topic: str, wait_ms: int, timeout_s: float
+    ) -> AsyncIterator[dict[str, bytes]]:
+        end: int | None = None
+        while True:
+            if end is None:
+                changes, end = await self._newest(topic)
+            else:
+                changes, end = await self._read(topic, end, wait_ms, timeout_s)
+            yield changes
+
+    async def _read(
+        self, topic: str, start: int, wait_ms: int, timeout_s: float
+    ) -> tuple[dict[str, bytes], int | None]:
+        query = {
+            'topic': topic,
+            'part': '0',
+            'from': str(start),
+            'waitMs': str(wait_ms),
+        }
+        status, content = await self._call('GET', 'log-read', query, timeout_s)
+        if status == _GONE:
+            # The records have expired; the newest of each key are kept.
+            return {}, None
+        return _decode_records(content, start)
+
+    async def _newest(self, topic: str) -> tuple[dict[str, bytes], int]:
+        newest, end, last_key = await self._page(topic, '')
+        while last_key:
+            # Pages are no snapshot, so reading goes on from the first end.
+            page, _, last_key = await self._page(topic, last_key)
+            newest |= page
+        return newest, end
+
+    async def _page(
+        self, topic: str, after_key: str
+    ) -> tuple[dict[str, bytes], int, str]:
+        query = {'topic': topic, 'part': '0'}
+        if after_key:
+            query['dependsOn'] = after_key
+        _, content = await self._call(
+            'GET', 'log-newest', query, CALL_TIMEOUT_S
+        )
+        try:
+            return _decode_page(content)
+        except (ValueError, LookupError, TypeError) as error:
+            raise StoreUnavailable(
+                f'unreadable page: {error!r}',
+                step='log-newest',
+                peer=self.address,
+            ) from error
+
+    async def _call(
+        self,
+        method: str,
+        name: str,
+        query: dict[str, str],
+        timeout_s: float,
+        body: bytes | None = None,
+    ) -> tuple[int, bytes]:
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                self.session.request(
+                    method,
+                    f'http://{self.address}/api/{name}',
+                    params=query,
+                    data=body,
+                ) as response,
+            ):
+                content = await response.read()
+        except (aiohttp.ClientError, OSError) as error:
+            raise StoreUnavailable(
+                repr(error), step=name, peer=self.address
+            ) from error
+        if response.status not in {_OK, _GONE}:
+            raise StoreUnavailable(
+                f'status {response.status}', step=name, peer=self.address
+            )
+        return response.status, content
+
+
+def _catalog(value: bytes | None) -> Catalog | None:
+    if value is None:
+        return None
+    try:
+        return decode_catalog(value)
+    except Malformed as error:
+        logger.bind(step='configure').error(
+            'configuration ignored: {}', error.detail
+        )
+        return None
+
+
+def _decode_page(content: bytes) -> tuple[dict[str, bytes], int, str]:
+    page = orjson.loads(content)
+    items = page['items']
+    values = {x['key']: base64.b64decode(x['value']) for x in items}
+    last_key = items[-1]['key'] if page['hasMore'] else ''
+    return values, page['end'], last_key
+
+
+def _keyed_record(key: bytes, value: bytes) -> bytes:
+    """Return a record with its length.
+
+    Examples
+    --------
+    >>> list(_keyed_record(b'w', b'7'))
+    [0, 0, 0, 3, 1, 119, 55]
+    """
+    content = bytes((len(key),)) + key + value
+    return len(content).to_bytes(_LENGTH_BYTES, 'big') + content
+
+
+def _decode_records(content: bytes, start: int) -> tuple[dict[str, bytes], int]:
+    records = list(_records(content[2 * _NUMBER_BYTES :]))
+    changes: dict[str, bytes] = {}
+    for record in records:
+        if not record:
+            continue
+        size = 1 + record[0]
+        key = record[1:size].decode(errors='replace')
+        if record[size:]:
+            changes[key] = record[size:]
+    return changes, start + len(records)
+
+
+def _records(content: bytes) -> Iterator[bytes]:
+    position = 0
+    while position + _LENGTH_BYTES <= len(content):
+        begin = position + _LENGTH_BYTES
+        size = int.from_bytes(content[position:begin], 'big')
+        position = begin + size
+        yield content[begin:position]
--- /dev/null
+++ b/src/limpetlanding/runs/__init__.py
@@ -0,0 +1,37 @@
+"""Jobs whose tasks run under leases at the executors of a platform.
+
+`Front` runs the jobs of its clients, `Worker` the runs at one executor. What
+they need of executors and of the store stands in `limpetlanding.runs.ports`.
+"""
+
+from limpetlanding.runs.catalog import CatalogHolder
+from limpetlanding.runs.dispatcher import Dispatcher, GivenUp, NotRun
+from limpetlanding.runs.front import Front
+from limpetlanding.runs.keeper import RunKeeper
+from limpetlanding.runs.model import (
+    Catalog,
+    Job,
+    JobState,
+    Queue,
+    Room,
+    RunEnd,
+    Step,
+)
+from limpetlanding.runs.worker import Worker
+
+__all__ = (
+    'Catalog',
+    'CatalogHolder',
+    'Dispatcher',
+    'Front',
+    'GivenUp',
+    'Job',
+    'JobState',
+    'NotRun',
+    'Queue',
+    'Room',
+    'RunEnd',
+    'RunKeeper',
+    'Step',
+    'Worker',
+)
--- /dev/null
+++ b/src/limpetlanding/runs/catalog.py
@@ -0,0 +1,83 @@
+"""Newest known configuration, and its form between processes."""
+
+import dataclasses
+from collections.abc import Callable
+
+import orjson
+from loguru import logger
+
+from limpetlanding.runs.model import Catalog, Queue
+from limpetlanding.wire.run_messages import CatalogUpdate
+
+
+class CatalogHolder:
+    """Keeps the newest configuration; an older one never replaces it.
+
+    Parameters
+    ----------
+    on_change : callable
+        Called with each newer configuration.
+
+    Examples
+    --------
+    >>> holder = CatalogHolder(lambda catalog: None)
+    >>> holder.offer(Catalog(version=4), 'store')
+    True
+    >>> holder.offer(Catalog(version=3), 'a front')
+    False
+    """
+
+    def __init__(self, on_change: Callable[[Catalog], None]) -> None:
+        self.on_change = on_change
+        self.catalog = Catalog()
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 if none is known."""
+        return self.catalog.version
+
+    def offer(self, catalog: Catalog, source: str) -> bool:
+        """Take a configuration if it is newer; return whether it was."""
+        if catalog.version <= self.version:
+            return False
+        logger.bind(
+            step='configure',
+            peer=source,
+            version=catalog.version,
+            previous=self.version,
+            queues=len(catalog.queues),
+        ).info('configuration in force')
+        self.catalog = catalog
+        self.on_change(catalog)
+        return True
+
+    def update(self) -> CatalogUpdate:
+        """Return the message that carries the configuration to a peer."""
+        return CatalogUpdate(
+            self.version, orjson.dumps(dataclasses.asdict(self.catalog))
+        )
+
+    def find(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix of `path` at `host`."""
+        matches = [
+            queue
+            for queue in self.catalog.queues
+            if queue.host == host and path.startswith(queue.prefix)
+        ]
+        return max(matches, key=lambda x: len(x.prefix), default=None)
+
+
+def decode_catalog(update: CatalogUpdate) -> Catalog:
+    """Return the configuration in a message.
+
+    Examples
+    --------
+    >>> holder = CatalogHolder(lambda catalog: None)
+    >>> queue = Queue('grades', 'desk.example', '/grade/', 'bundles')
+    >>> _ = holder.offer(Catalog(3, [queue]), 'store')
+    >>> decode_catalog(holder.update()) == holder.catalog
+    True
+    """
+    fields = orjson.loads(update.body)
+    queues = [Queue(**queue) for queue in fields.pop('queues')]
+    return Catalog(queues=queues, **fields)
--- /dev/null
+++ b/src/limpetlanding/runs/fleet.py
@@ -0,0 +1,135 @@
+"""Fleet: the workers as one front knows them."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from limpetlanding.runs.model import Room, Step
+from limpetlanding.wire import Channel
+from limpetlanding.wire.run_messages import WorkerReport
+
+FAR_FACTOR = 1.5
+"""Run time on another rack than that of the data, by the platform's pages."""
+
+FOREIGN_DOMAIN_FACTOR = 1.02
+"""Prefers the own failure domain among workers of about the same speed."""
+
+FULL_FACTOR = 0.05
+"""Spreads tasks over workers of about the same speed."""
+
+
+@dataclass(slots=True, eq=False)
+class WorkerView:
+    """One worker incarnation.
+
+    Parameters
+    ----------
+    channel : Channel
+        Link to the worker.
+    report : WorkerReport
+        Its latest report.
+    reported_at : float
+        When the report arrived, in monotonic seconds.
+    ordered : dict
+        Needs of the runs that the latest report may not contain.
+    runs : dict
+        Tasks by run key that this front believes are there.
+    """
+
+    channel: Channel
+    report: WorkerReport
+    reported_at: float
+    ordered: dict[str, Room] = field(default_factory=dict)
+    runs: dict[str, object] = field(default_factory=dict)
+
+    @property
+    def name(self) -> str:
+        """Node name of the worker."""
+        return self.channel.peer.node
+
+    @property
+    def free(self) -> Room:
+        """Reported room less what was ordered since."""
+        report = self.report
+        room = Room(report.free_cpu, report.free_memory_mb, report.free_gpu)
+        return sum((Room() - need for need in self.ordered.values()), room)
+
+    @property
+    def capacity(self) -> Room:
+        """Whole room."""
+        report = self.report
+        return Room(report.cpu, report.memory_mb, report.gpu)
+
+    def is_usable(self) -> bool:
+        """Tell whether new runs may be ordered here."""
+        if self.channel.suspect or not self.report.accepting:
+            return False
+        return self.report.health == 'good' or not (self.ordered or self.runs)
+
+
+class Fleet:
+    """Workers of all pools, by channel."""
+
+    def __init__(self, failure_domain: str) -> None:
+        self.failure_domain = failure_domain
+        self.views: dict[Channel, WorkerView] = {}
+
+    def update(
+        self, channel: Channel, report: WorkerReport, now: float
+    ) -> WorkerView:
+        """Take a report; return the view of its worker."""
+        view = self.views.get(channel)
+        if view is None:
+            view = WorkerView(channel, report, now)
+            self.views[channel] = view
+        view.report = report
+        view.reported_at = now
+        return view
+
+    def usable(self, pool: str) -> list[WorkerView]:
+        """Return the workers of a pool that take new runs now."""
+        return [
+            view
+            for view in self.views.values()
+            if view.report.pool == pool and view.is_usable()
+        ]
+
+    def choose(
+        self,
+        step: Step,
+        candidates: Iterable[WorkerView],
+        avoid: set[str],
+        on_worker: dict[str, int],
+    ) -> WorkerView | None:
+        """Return the worker where a task of `step` is expected to end first.
+
+        Parameters
+        ----------
+        step : Step
+            Step of the task.
+        candidates : iterable of WorkerView
+            Usable workers of the pool.
+        avoid : set of str
+            Workers at which the task has failed; they are a last resort.
+        on_worker : dict
+            Number of tasks of the step by worker.
+        """
+        fitting = [
+            view
+            for view in candidates
+            if view.free.fits(step.need)
+            and (not step.label or step.label in view.report.labels)
+            and not 0 < step.most_per_worker <= on_worker.get(view.name, 0)
+        ]
+        sound = [view for view in fitting if view.name not in avoid]
+        return min(
+            sound or fitting, key=lambda x: self._cost(x, step), default=None
+        )
+
+    def _cost(self, view: WorkerView, step: Step) -> float:
+        cost = view.report.run_ratio
+        if step.near and step.near not in view.report.labels:
+            cost *= FAR_FACTOR
+        if view.report.failure_domain != self.failure_domain:
+            cost *= FOREIGN_DOMAIN_FACTOR
+        used_share = 1 - view.free.cpu / max(view.capacity.cpu, 1)
+        return cost * (1 + FULL_FACTOR * used_share)
--- /dev/null
+++ b/src/limpetlanding/runs/front.py
@@ -0,0 +1,145 @@
+"""Front: finds the workers, follows the configuration, runs jobs."""
+
+import asyncio
+from random import Random
+from typing import Any
+
+from loguru import logger
+
+from limpetlanding.runs.backoff import follow
+from limpetlanding.runs.catalog import CatalogHolder, decode_catalog
+from limpetlanding.runs.dispatcher import Dispatcher
+from limpetlanding.runs.fleet import Fleet
+from limpetlanding.runs.model import Catalog
+from limpetlanding.runs.ports import StorePort
+from limpetlanding.wire import Channel, Node
+from limpetlanding.wire.run_messages import (
+    CatalogUpdate,
+    KnownWorkers,
+    RunsEnded,
+    WorkerReport,
+)
+
+READY_REPORT_AGE_S = 2.5
+"""A front that no worker has reported to for this long takes no new clients;
+workers report each second."""
+
+
+class Front:
+    """One front with its links, configuration and jobs.
+
+    Parameters
+    ----------
+    node : Node
+        Links; the front sets its handler and callbacks.
+    store : StorePort
+        The store.
+    seeds : list of str
+        Addresses of fronts that may know workers.
+    rng : random.Random
+        Jitter.
+    """
+
+    def __init__(
+        self, node: Node, store: StorePort, seeds: list[str], rng: Random
+    ) -> None:
+        self.node = node
+        self.store = store
+        self.rng = rng
+        self.loop = asyncio.get_running_loop()
+        self.catalogs = CatalogHolder(self._relay)
+        self.fleet = Fleet(node.hello.failure_domain)
+        self.dispatcher = Dispatcher(self.fleet)
+        self.addresses: set[str] = set()
+        self.seeds: set[str] = set()
+        self.stopping = False
+        node.handler = self.handle
+        node.on_peer_up = self._peer_up
+        node.on_peer_down = self._peer_down
+        self.use_seeds(seeds)
+
+    def use_seeds(self, seeds: list[str]) -> None:
+        """Dial fronts at the given addresses."""
+        for address in set(seeds) - self.seeds - {self.node.hello.address}:
+            self.seeds.add(address)
+            self.node.keep_dialing(address)
+
+    async def run(self) -> None:
+        """Follow the store and place tasks until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.dispatcher.run())
+            group.create_task(
+                follow(
+                    'configuration',
+                    self.store.catalogs,
+                    self._take_catalog,
+                    self.rng,
+                )
+            )
+            group.create_task(
+                follow(
+                    'workers', self.store.workers, self._take_workers, self.rng
+                )
+            )
+
+    def missing(self) -> str:
+        """Return what keeps the front from taking clients; empty if nothing."""
+        if self.stopping:
+            return 'stopping'
+        if not self.catalogs.version:
+            return 'no configuration'
+        now = self.loop.time()
+        newest = max(
+            (view.reported_at for view in self.fleet.views.values()), default=0
+        )
+        if now - newest > READY_REPORT_AGE_S:
+            return 'no worker'
+        return ''
+
+    async def handle(self, channel: Channel, message: Any) -> Any:
+        """Serve a message of a worker or of another front."""
+        if isinstance(message, WorkerReport):
+            self.dispatcher.report(channel, message)
+        elif isinstance(message, RunsEnded):
+            self.dispatcher.ended(channel, message)
+        elif isinstance(message, CatalogUpdate):
+            if message.version > self.catalogs.version:
+                self.catalogs.offer(decode_catalog(message), channel.peer.node)
+        elif isinstance(message, KnownWorkers):
+            self._dial(message.addresses)
+
+    def _take_catalog(self, catalog: Catalog) -> None:
+        self.catalogs.offer(catalog, 'store')
+
+    def _take_workers(self, addresses: dict[str, str]) -> None:
+        self._dial(list(addresses.values()))
+
+    def _dial(self, addresses: list[str]) -> None:
+        new = set(addresses) - self.addresses
+        if not new:
+            return
+        self.addresses |= new
+        logger.bind(step='members', new=sorted(new)[:5]).info(
+            'dials {} more workers', len(new)
+        )
+        for address in new:
+            self.node.keep_dialing(address)
+
+    def _relay(self, _catalog: Catalog) -> None:
+        update = self.catalogs.update()
+        for channel in self.node.channels:
+            if channel.links:
+                channel.notify(update)
+
+    def _peer_up(self, channel: Channel) -> None:
+        if self.catalogs.version:
+            channel.notify(self.catalogs.update())
+        if channel.peer.role == 'front':
+            channel.notify(KnownWorkers(sorted(self.addresses)))
+            return
+        self.addresses.add(channel.peer.address)
+        self.dispatcher.worker_up(channel)
+
+    def _peer_down(self, channel: Channel) -> None:
+        if channel.peer.role != 'front':
+            self.dispatcher.worker_down(channel)
--- /dev/null
+++ b/src/limpetlanding/runs/jobs.py
@@ -0,0 +1,127 @@
+"""State of the jobs that a front is running."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from limpetlanding.runs.model import Job, JobState, Queue, Step
+
+MAX_SUSPECT_FAILURES = 6
+"""Failures at suspect executors that a task survives; these say little about
+the task, but a task that crashes its executor must not go on for ever."""
+
+
+@dataclass(slots=True, eq=False)
+class ActiveTask:
+    """One task of an active job.
+
+    Parameters
+    ----------
+    job : ActiveJob
+        Its job.
+    step : Step
+        Its step.
+    step_index : int
+        Number of the step.
+    name : str
+        Name on the executors.
+    """
+
+    job: 'ActiveJob'
+    step: Step
+    step_index: int
+    name: str
+    run: int = 0
+    worker: str = ''
+    failures: int = 0
+    suspect_failures: int = 0
+    avoid: set[str] = field(default_factory=set)
+    done: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class ActiveJob:
+    """A job from its submission until its answer.
+
+    Parameters
+    ----------
+    job : Job
+        The submission.
+    queue : Queue
+        Its queue.
+    arrived : float
+        Monotonic seconds.
+    deadline : float
+        When the client stops waiting, in monotonic seconds.
+    catalog_version : int
+        Version of the configuration that admitted it.
+    """
+
+    job: Job
+    queue: Queue
+    arrived: float
+    deadline: float
+    catalog_version: int
+    outcome: asyncio.Future[JobState]
+    waiting: list[ActiveTask] = field(default_factory=list)
+    placed: dict[str, ActiveTask] = field(default_factory=dict)
+    left: Counter[int] = field(default_factory=Counter)
+    started_steps: set[int] = field(default_factory=set)
+    ever_ordered: bool = False
+    first_ordered: float = 0
+    watchers: int = 0
+    ended: bool = False
+    vacated: asyncio.Event = field(default_factory=asyncio.Event)
+    workers: set[str] = field(default_factory=set)
+    runs: Counter[str] = field(default_factory=Counter)
+
+    @property
+    def chain_s(self) -> float:
+        """Longest chain of declared run times, in seconds."""
+        ends: list[float] = []
+        for step in self.job.steps:
+            begin = max((ends[x] for x in step.after), default=0)
+            ends.append(begin + step.estimate_ms / 1000)
+        return max(ends, default=0)
+
+    @property
+    def objective_s(self) -> float:
+        """Time from the arrival within which the answer is on time."""
+        return self.chain_s * self.queue.stretch + self.queue.target_ms / 1000
+
+    def remove_placed(self, task: ActiveTask) -> None:
+        """Note that no run of a task is left."""
+        if self.placed.get(task.name) is task:
+            self.placed.pop(task.name)
+        if not self.placed:
+            self.vacated.set()
+
+    def release_steps(self) -> None:
+        """Make the tasks of steps wait whose earlier steps are done."""
+        for index, step in enumerate(self.job.steps):
+            if index in self.started_steps:
+                continue
+            if all(self.is_step_done(x) for x in step.after):
+                self.started_steps.add(index)
+                self.left[index] = step.count
+                self.waiting += self._tasks_of(index, step)
+
+    def is_step_done(self, index: int) -> bool:
+        """Tell whether all tasks of a step are done."""
+        return index in self.started_steps and not self.left[index]
+
+    def is_done(self) -> bool:
+        """Tell whether all tasks of all steps are done."""
+        return all(map(self.is_step_done, range(len(self.job.steps))))
+
+    def next_run(self, task: ActiveTask) -> int:
+        """Return a run number that no earlier run of the task has had."""
+        self.runs[task.name] += 1
+        task.run = self.runs[task.name]
+        return task.run
+
+    def _tasks_of(self, index: int, step: Step) -> Iterator[ActiveTask]:
+        for number in range(step.count):
+            name = f'{self.job.job_id}.0.{index}.{number}'
+            yield ActiveTask(self, step, index, name)
--- /dev/null
+++ b/src/limpetlanding/runs/keeper.py
@@ -0,0 +1,541 @@
+"""Keeper: owns the runs at one executor and their lease.
+
+The keeper is the only caller of its executor. It accounts for the room of
+every run from before the start is sent until the end is listed, because the
+executor itself may start whatever it is told.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from contextlib import suppress
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+
+from loguru import logger
+
+from limpetlanding.runs.health import ExecutorHealth
+from limpetlanding.runs.lease import ExecutorClock
+from limpetlanding.runs.model import Room, RunEnd
+from limpetlanding.runs.ports import (
+    Executor,
+    ExecutorPort,
+    ExecutorReplaced,
+    ExecutorSilent,
+    Inventory,
+    StartOrder,
+    StartReply,
+)
+
+LEASE_MS = 900
+"""Lease asked for; the platform grants 1,000 ms at most."""
+
+LOOK_MS = 200
+"""Longest wait of one inventory while runs are active. Two lost answers in a
+row leave the lease intact."""
+
+LOOK_TIMEOUT_S = 0.2
+"""Time for an answer beyond the wait that the call asks for."""
+
+IDLE_LOOK_S = 2
+"""Interval of inventories while nothing runs."""
+
+ORDER_TIMEOUT_S = 0.25
+"""Time for the answer to a start or stop; sound executors need about 1 ms."""
+
+PAUSE_S = 0.03
+"""Pause after a call without answer."""
+
+STALL_S = 0.6
+"""A run without progress for this long is stopped; a sound one changes its
+percentage in every inventory."""
+
+MAX_START_ATTEMPTS = 3
+
+RATIO_WEIGHT = 0.1
+"""Weight of one more run in the moving mean of run time over estimate, whose
+spread is about 40% for each job."""
+
+MIN_RATIO_MS = 30
+"""Estimates below this say more about latency than about speed."""
+
+
+@dataclass(slots=True, eq=False)
+class HeldRun:
+    """One run that occupies room at the executor.
+
+    Parameters
+    ----------
+    owner : str
+        Front on whose behalf it runs.
+    job_id, task : str
+        Job and task.
+    run : int
+        Number of the run.
+    need : Room
+        Room it occupies.
+    spec : str
+        Text of the job.
+    checkpoint : str
+        Checkpoint to resume from.
+    estimate_ms : float
+        Declared run time.
+    """
+
+    owner: str
+    job_id: str
+    task: str
+    run: int
+    need: Room
+    spec: str = ''
+    checkpoint: str = ''
+    estimate_ms: float = 0
+    started: bool = False
+    # An inventory asked for after this moment lists the run unless it has
+    # ended or can never begin.
+    listed_from: float | None = None
+    begun_at: float = 0
+    lease_until_ms: int = 0
+    percent: float = -1
+    progress_at: float = 0
+    stop_as: RunEnd | None = None
+    stop_sent: bool = False
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Task and number of the run."""
+        return self.task, self.run
+
+
+@dataclass(frozen=True, slots=True)
+class RunResult:
+    """End of a run, as reported to its front."""
+
+    held: HeldRun
+    how: RunEnd
+    run_ms: float
+    suspect: bool
+
+
+class RunKeeper:
+    """Runs, lease and health of the executor beside this process.
+
+    Parameters
+    ----------
+    port : ExecutorPort
+        Calls to the executor.
+    on_end : callable
+        Receives each `RunResult`.
+    on_change : callable
+        Called when room, health or state have changed.
+    """
+
+    def __init__(
+        self,
+        port: ExecutorPort,
+        on_end: Callable[[RunResult], None],
+        on_change: Callable[[], None],
+    ) -> None:
+        self.port = port
+        self.on_end = on_end
+        self.on_change = on_change
+        self.loop = asyncio.get_running_loop()
+        self.executor: Executor | None = None
+        self.runs: dict[tuple[str, int], HeldRun] = {}
+        self.foreign: set[tuple[str, int]] = set()
+        self.clock = ExecutorClock()
+        self.health = ExecutorHealth()
+        self.run_ratio = 1.0
+        # Numbers of the executor's list of ends.
+        self.acknowledged = 0
+        self.acknowledged_there = 0
+        self.last_lease_ms = 0
+        self.in_touch = False
+        self.stopping = False
+        self.wake = asyncio.Event()
+        self.emptied = asyncio.Event()
+        self.emptied.set()
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    @property
+    def capacity(self) -> Room:
+        """Whole room of the executor."""
+        return self.executor.capacity if self.executor else Room()
+
+    @property
+    def free(self) -> Room:
+        """Room that no run occupies."""
+        return sum(
+            (Room() - run.need for run in self.runs.values()), self.capacity
+        )
+
+    def health_state(self) -> str:
+        """Return ``good``, ``ejected`` or ``trial``."""
+        return self.health.state(self.loop.time())
+
+    def refusal(self, need: Room) -> str:
+        """Return why a run cannot be started now; empty if it can."""
+        if self.executor is None or not self.in_touch:
+            return 'executor silent'
+        if self.stopping or self.executor.draining:
+            return 'leaving'
+        if self.foreign:
+            return 'unknown runs are being stopped'
+        health = self.health_state()
+        if health == 'ejected' or (health == 'trial' and self.runs):
+            return 'unhealthy'
+        return '' if self.free.fits(need) else 'no room'
+
+    def announce(self, executor: Executor) -> None:
+        """Take what the executor says of itself.
+
+        Announcements may arrive late; those of an earlier life, or older
+        than the last one of this life, are ignored.
+        """
+        known = self.executor
+        if known is not None and executor.life == known.life:
+            if executor.sequence > known.sequence:
+                self._update(known, executor)
+            return
+        if known is not None and executor.born_ms < known.born_ms:
+            logger.bind(step='announce', peer=executor.life).info(
+                'announcement of an earlier life ignored'
+            )
+            return
+        if known is not None:
+            self._end_life('another life of the executor has announced itself')
+        self._begin_life(executor)
+
+    def leave(self, executor_id: str) -> None:
+        """Note that the executor has said that it ends."""
+        known = self.executor
+        if known is not None and known.executor_id == executor_id:
+            self._end_life('the executor has left')
+
+    def start(self, held: HeldRun) -> None:
+        """Occupy the room of a run and start it; see `refusal` first."""
+        self.runs[held.key] = held
+        self.emptied.clear()
+        self.on_change()
+        self._spawn(self._start(held))
+
+    def stop(self, held: HeldRun, how: RunEnd = RunEnd.STOPPED) -> None:
+        """Stop a run; its end is reported once it is certain."""
+        if held.stop_as is None:
+            held.stop_as = how
+        if not held.stop_sent:
+            held.stop_sent = True
+            self._spawn(self._stop(held))
+
+    def stop_owner(self, owner: str) -> int:
+        """Stop all runs of one front; return how many there are."""
+        owned = [run for run in self.runs.values() if run.owner == owner]
+        for held in owned:
+            self.stop(held)
+        return len(owned)
+
+    async def close(self) -> None:
+        """Stop calling the executor; what runs there lapses."""
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.port.close()
+
+    def _begin_life(self, executor: Executor) -> None:
+        self.executor = executor
+        self.clock = ExecutorClock()
+        self.health = ExecutorHealth()
+        self.acknowledged = 0
+        self.acknowledged_there = 0
+        self.last_lease_ms = 0
+        self.in_touch = False
+        self.foreign.clear()
+        logger.bind(
+            step='executor',
+            peer=executor.life,
+            pool=executor.pool,
+            cpu=executor.capacity.cpu,
+        ).info('executor found')
+        self._spawn(self._watch(executor.life))
+        self.on_change()
+
+    def _end_life(self, why: str) -> None:
+        logger.bind(
+            step='executor',
+            peer=self.executor.life if self.executor else '',
+            runs=len(self.runs),
+        ).info('executor lost: {}', why)
+        self.executor = None
+        self.in_touch = False
+        self.wake.set()
+        for held in list(self.runs.values()):
+            self._finish(held, RunEnd.LAPSED)
+        self.on_change()
+
+    def _update(self, known: Executor, announced: Executor) -> None:
+        self.executor = announced
+        if announced.draining != known.draining:
+            logger.bind(step='executor', peer=announced.life).info(
+                'executor drains' if announced.draining else 'executor is back'
+            )
+        self.on_change()
+
+    def _is_current(self, life: str) -> bool:
+        return self.executor is not None and self.executor.life == life
+
+    def _lease(self) -> int:
+        now_ms = self.clock.at(self.loop.time()) or 0
+        self.last_lease_ms = max(self.last_lease_ms, now_ms + LEASE_MS)
+        return now_ms + LEASE_MS
+
+    async def _watch(self, life: str) -> None:
+        while self._is_current(life):
+            is_idle = not self.runs and not self.foreign
+            if is_idle and self.acknowledged == self.acknowledged_there:
+                await self._rest()
+            if self._is_current(life):
+                await self._look(life)
+
+    async def _rest(self) -> None:
+        self.wake.clear()
+        if not self.in_touch:
+            return
+        with suppress(TimeoutError):
+            async with asyncio.timeout(IDLE_LOOK_S):
+                await self.wake.wait()
+
+    async def _look(self, life: str) -> None:
+        executor = self.executor
+        sent = self.loop.time()
+        acknowledged = self.acknowledged
+        # Without runs there is nothing to hold, and an end that is waiting
+        # for its acknowledgement is not to be delayed.
+        wait_ms = LOOK_MS if self.runs and self.in_touch else 0
+        lease = self._lease() if self.runs and self.in_touch else None
+        try:
+            async with asyncio.timeout(wait_ms / 1000 + LOOK_TIMEOUT_S):
+                inventory = await self.port.inventory(
+                    executor.executor_id, acknowledged, lease, wait_ms
+                )
+        except (ExecutorSilent, TimeoutError) as error:
+            await self._note_silence(life, error)
+            return
+        except ExecutorReplaced as error:
+            if self._is_current(life):
+                self._end_life(str(error))
+            return
+        if not self._is_current(life):
+            return
+        if inventory.born_ms != executor.born_ms and inventory.born_ms:
+            self._end_life('the executor has restarted')
+            return
+        self.acknowledged_there = acknowledged
+        self._absorb(inventory, sent)
+
+    async def _note_silence(self, life: str, error: Exception) -> None:
+        if not self._is_current(life):
+            return
+        now = self.loop.time()
+        if self.clock.is_past(self.last_lease_ms, now) or not self.runs:
+            if self.in_touch:
+                logger.bind(step='look', peer=life, runs=len(self.runs)).info(
+                    'executor silent: {}', error or 'no answer in time'
+                )
+            self.in_touch = False
+            for held in list(self.runs.values()):
+                self._finish(held, RunEnd.LAPSED, suspect=True)
+            self.on_change()
+        await asyncio.sleep(PAUSE_S)
+
+    def _absorb(self, inventory: Inventory, sent: float) -> None:
+        now = self.loop.time()
+        self.clock.note(inventory.clock_ms, now)
+        if not self.in_touch:
+            self.in_touch = True
+            self.on_change()
+        for end in inventory.ended:
+            if end.number > self.acknowledged:
+                self.acknowledged = end.number
+            held = self.runs.get((end.task, end.run))
+            if held is not None:
+                self._finish(held, _how(held, end.how))
+        active = {(run.task, run.run): run.percent for run in inventory.active}
+        for key, held in list(self.runs.items()):
+            if key in active:
+                self._note_progress(held, active[key], now)
+            else:
+                self._note_absence(held, sent)
+        self._stop_foreign(active.keys() - self.runs.keys())
+
+    def _note_absence(self, held: HeldRun, sent: float) -> None:
+        if held.listed_from is not None and held.listed_from < sent:
+            self._finish(held, held.stop_as or RunEnd.LAPSED)
+        elif self._can_never_begin(held, sent):
+            self._finish(held, held.stop_as or RunEnd.REFUSED)
+
+    def _can_never_begin(self, held: HeldRun, sent: float) -> bool:
+        # The executor rejects a start whose lease has passed.
+        return held.stop_sent and self.clock.is_past(held.lease_until_ms, sent)
+
+    def _stop_foreign(self, keys: set[tuple[str, int]]) -> None:
+        if self.foreign != keys:
+            logger.bind(step='look', runs=sorted(keys)[:5]).info(
+                'unknown runs at the executor: {}', len(keys)
+            )
+            self.on_change()
+        for key in keys - self.foreign:
+            self._spawn(self._stop_unknown(*key))
+        self.foreign = keys
+
+    def _note_progress(self, held: HeldRun, percent: float, now: float) -> None:
+        if not held.started:
+            # The answer to the start was lost, but the run is there.
+            held.started = True
+            held.begun_at = now
+        if percent != held.percent:
+            held.percent = percent
+            held.progress_at = now
+        elif now - held.progress_at > STALL_S and held.stop_as is None:
+            logger.bind(
+                request_id=held.job_id,
+                task=held.task,
+                run=held.run,
+                percent=percent,
+                age_ms=round((now - held.progress_at) * 1000),
+            ).info('run stopped: no progress')
+            self.stop(held, RunEnd.STALLED)
+
+    async def _start(self, held: HeldRun) -> None:
+        life = self.executor.life if self.executor else ''
+        for _ in range(MAX_START_ATTEMPTS):
+            reply = await self._order_start(held, life)
+            if reply is None or held.key not in self.runs:
+                return
+            if reply.clock_ms is not None:
+                self.clock.note(reply.clock_ms, self.loop.time())
+            if reply.refusal != 'expired':
+                self._note_reply(held, reply)
+                return
+        self._finish(held, RunEnd.REFUSED)
+
+    async def _order_start(self, held: HeldRun, life: str) -> StartReply | None:
+        if not self._is_current(life):
+            return None
+        held.lease_until_ms = self._lease()
+        order = StartOrder(
+            held.task,
+            held.run,
+            held.spec,
+            held.lease_until_ms,
+            held.checkpoint,
+        )
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                return await self.port.start(self.executor.executor_id, order)
+        except (ExecutorSilent, TimeoutError):
+            logger.bind(
+                request_id=held.job_id, task=held.task, run=held.run, peer=life
+            ).info('start without answer; the run is stopped')
+            # The order may be carried out later, so that the run has to be
+            # barred before it can be started elsewhere.
+            self.stop(held, RunEnd.REFUSED)
+        except ExecutorReplaced as error:
+            if self._is_current(life):
+                self._end_life(str(error))
+        return None
+
+    def _note_reply(self, held: HeldRun, reply: StartReply) -> None:
+        now = self.loop.time()
+        if not reply.refusal:
+            held.listed_from = now
+            if not held.started:
+                held.started = True
+                held.begun_at = now
+                held.progress_at = now
+            self.wake.set()
+            return
+        suspect = reply.refusal == 'unhealthy'
+        # A run that was stopped before its start arrived is outdated too.
+        is_outdated = reply.refusal == 'outdated'
+        refused = RunEnd.OUTDATED if is_outdated else RunEnd.REFUSED
+        how = held.stop_as or refused
+        logger.bind(request_id=held.job_id, task=held.task, run=held.run).info(
+            'start refused: {}', reply.refusal
+        )
+        self._finish(held, how, suspect=suspect)
+
+    async def _stop(self, held: HeldRun) -> None:
+        while self.runs.get(held.key) is held and self.executor is not None:
+            if await self._order_stop(held.task, held.run):
+                held.listed_from = self.loop.time()
+                self.wake.set()
+                return
+
+    async def _stop_unknown(self, task: str, run: int) -> None:
+        while (task, run) in self.foreign and self.executor is not None:
+            if await self._order_stop(task, run):
+                return
+
+    async def _order_stop(self, task: str, run: int) -> bool:
+        executor = self.executor
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                await self.port.stop(executor.executor_id, task, run)
+        except (ExecutorSilent, TimeoutError):
+            await asyncio.sleep(PAUSE_S)
+            return False
+        except ExecutorReplaced as error:
+            if self._is_current(executor.life):
+                self._end_life(str(error))
+        return True
+
+    def _finish(
+        self, held: HeldRun, how: RunEnd, suspect: bool = False
+    ) -> None:
+        if self.runs.pop(held.key, None) is None:
+            return
+        if not self.runs:
+            self.emptied.set()
+        now = self.loop.time()
+        run_ms = (now - held.begun_at) * 1000 if held.started else 0
+        if how is RunEnd.DONE:
+            self._note_speed(held, run_ms)
+            self.health.succeeded()
+        elif suspect or how in {RunEnd.FAILED, RunEnd.STALLED}:
+            self._note_failure(held, how, now)
+        is_suspect = suspect or self.health_state() != 'good'
+        self.on_end(RunResult(held, how, run_ms, is_suspect))
+        self.on_change()
+
+    def _note_failure(self, held: HeldRun, how: RunEnd, now: float) -> None:
+        if not self.health.failed(held.job_id, now):
+            return
+        logger.bind(
+            step='health',
+            request_id=held.job_id,
+            failures=len(self.health.failed_jobs),
+            how=how,
+        ).info('executor ejected for {} s', self.health.pause_s)
+        self.loop.call_later(self.health.pause_s, self.on_change)
+
+    def _note_speed(self, held: HeldRun, run_ms: float) -> None:
+        if held.estimate_ms >= MIN_RATIO_MS:
+            ratio = run_ms / held.estimate_ms
+            self.run_ratio += RATIO_WEIGHT * (ratio - self.run_ratio)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(partial(_ended, self.tasks))
+
+
+def _how(held: HeldRun, listed: RunEnd) -> RunEnd:
+    if listed is RunEnd.STOPPED and held.stop_as is not None:
+        return held.stop_as
+    return listed
+
+
+def _ended(tasks: set[asyncio.Task[Any]], task: asyncio.Task[Any]) -> None:
+    tasks.discard(task)
+    if not task.cancelled() and task.exception() is not None:
+        logger.opt(exception=task.exception()).error('task of keeper failed')
--- /dev/null
+++ b/src/limpetlanding/runs/ports.py
@@ -0,0 +1,207 @@
+"""What this package needs of an executor and of a store.
+
+Adapters implement these interfaces; they raise `ExecutorSilent` or
+`StoreUnavailable` where an answer is missing, and nothing else.
+"""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from limpetlanding.errors import LimpetlandingError
+from limpetlanding.runs.model import Catalog, Room, RunEnd
+
+
+class ExecutorSilent(LimpetlandingError):
+    """No usable answer came; the call may have been executed or may yet be."""
+
+
+class ExecutorReplaced(LimpetlandingError):
+    """Another life of the executor is at the address."""
+
+
+class StoreUnavailable(LimpetlandingError):
+    """The store did not answer or refused the call."""
+
+
+@dataclass(frozen=True, slots=True)
+class Executor:
+    """What an executor says of itself.
+
+    Parameters
+    ----------
+    executor_id : str
+        Id, unique for one life unless the executor restarts under it.
+    born_ms : int
+        Start of this life, in Unix milliseconds; 0 if unknown.
+    pool : str
+        Pool it belongs to.
+    capacity : Room
+        Its whole room.
+    labels : tuple of str
+        Kind and rack.
+    draining : bool
+        Whether it is about to leave.
+    sequence : int
+        Rises with each announcement of one life.
+    """
+
+    executor_id: str
+    born_ms: int
+    pool: str
+    capacity: Room
+    labels: tuple[str, ...]
+    draining: bool
+    sequence: int
+
+    @property
+    def life(self) -> str:
+        """Name of this life."""
+        return f'{self.executor_id}/{self.born_ms}'
+
+
+@dataclass(frozen=True, slots=True)
+class ActiveRun:
+    """A run that an executor lists as active.
+
+    Parameters
+    ----------
+    task : str
+        Task.
+    run : int
+        Number of the run.
+    percent : float
+        Progress of the work.
+    """
+
+    task: str
+    run: int
+    percent: float
+
+
+@dataclass(frozen=True, slots=True)
+class EndedRun:
+    """A run that an executor lists as ended.
+
+    Parameters
+    ----------
+    number : int
+        Position in the executor's list of ends.
+    task : str
+        Task.
+    run : int
+        Number of the run.
+    how : RunEnd
+        How it ended.
+    """
+
+    number: int
+    task: str
+    run: int
+    how: RunEnd
+
+
+@dataclass(frozen=True, slots=True)
+class Inventory:
+    """Runs at an executor.
+
+    Parameters
+    ----------
+    clock_ms : int
+        Clock of the executor as it answered.
+    born_ms : int
+        Start of the life that answered; 0 if it does not say.
+    active : list of ActiveRun
+        Active runs.
+    ended : list of EndedRun
+        Ends that are not acknowledged.
+    """
+
+    clock_ms: int
+    born_ms: int
+    active: list[ActiveRun] = field(default_factory=list)
+    ended: list[EndedRun] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class StartReply:
+    """Answer to a start.
+
+    Parameters
+    ----------
+    clock_ms : int or None
+        Clock of the executor; None if the answer has none.
+    refusal : str
+        Empty if the run is there; else ``expired`` (the lease of the order
+        had passed), ``outdated`` (run number), ``full``, ``unhealthy`` or
+        ``invalid``.
+    """
+
+    clock_ms: int | None
+    refusal: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class StartOrder:
+    """One start as an executor is told.
+
+    Parameters
+    ----------
+    task : str
+        Task.
+    run : int
+        Number of the run.
+    spec : str
+        Text of the job.
+    lease_until_ms : int
+        End of the lease on the executor's clock.
+    checkpoint : str
+        Checkpoint to resume from; empty for none.
+    """
+
+    task: str
+    run: int
+    spec: str
+    lease_until_ms: int
+    checkpoint: str = ''
+
+
+class ExecutorPort(Protocol):
+    """Calls to one executor; all raise `ExecutorSilent`, `ExecutorReplaced`."""
+
+    async def start(self, executor_id: str, order: StartOrder) -> StartReply:
+        """Start a run."""
+
+    async def stop(self, executor_id: str, task: str, run: int) -> None:
+        """Stop a run, and bar it if it has not begun."""
+
+    async def inventory(
+        self,
+        executor_id: str,
+        acknowledged: int,
+        lease_until_ms: int | None,
+        wait_ms: int,
+    ) -> Inventory:
+        """Renew the lease and list the runs, waiting for an end."""
+
+    async def close(self) -> None:
+        """Close all connections."""
+
+
+class StorePort(Protocol):
+    """Calls to the store; all raise `StoreUnavailable`."""
+
+    async def newest_catalog(self) -> Catalog | None:
+        """Return the newest configuration."""
+
+    def catalogs(self) -> AsyncIterator[Catalog]:
+        """Yield configurations as they are published, until an error."""
+
+    async def register_worker(self, name: str, address: str) -> None:
+        """Record the address of a worker."""
+
+    def workers(self) -> AsyncIterator[dict[str, str]]:
+        """Yield addresses by name as they change, until an error."""
+
+    async def close(self) -> None:
+        """Close all connections."""
--- /dev/null
+++ b/src/limpetlanding/runs/worker.py
@@ -0,0 +1,314 @@
+"""Worker: serves fronts on behalf of the executor beside it."""
+
+import asyncio
+from collections import defaultdict
+from contextlib import suppress
+from typing import Any
+
+from loguru import logger
+
+from limpetlanding.errors import LimpetlandingError
+from limpetlanding.runs.catalog import CatalogHolder, decode_catalog
+from limpetlanding.runs.keeper import HeldRun, RunKeeper, RunResult
+from limpetlanding.runs.model import Catalog, Room, RunEnd
+from limpetlanding.runs.ports import Executor, ExecutorPort
+from limpetlanding.wire import Channel, Node
+from limpetlanding.wire.run_messages import (
+    CatalogUpdate,
+    HeldRuns,
+    RunOrder,
+    RunOutcome,
+    RunsEnded,
+    RunsTaken,
+    StartRuns,
+    StopRuns,
+    WorkerReport,
+    run_key,
+)
+
+REPORT_INTERVAL_S = 1
+"""Reports are repeated this often, since one may be lost with its link."""
+
+STOP_WAIT_S = 0.3
+"""A stop takes 50 ms at the executor; this leaves time for one repetition."""
+
+REPORT_TIMEOUT_S = 5
+"""A front that has not taken the end of a run by then has given it up."""
+
+MAX_RECENT = 2000
+"""Ended runs whose repeated orders are recognized; some seconds' worth."""
+
+BARRED_S = 10
+"""How long a stopped run that never arrived is remembered; frames of a lost
+link arrive within a second or not at all."""
+
+
+class Worker:
+    """Runs of all fronts at the executor beside this process.
+
+    Parameters
+    ----------
+    node : Node
+        Links to the fronts; the worker sets its handler and callbacks.
+    port : ExecutorPort
+        Calls to the executor.
+    """
+
+    def __init__(self, node: Node, port: ExecutorPort) -> None:
+        self.node = node
+        self.loop = asyncio.get_running_loop()
+        self.keeper = RunKeeper(port, self._ended, self._changed)
+        self.catalogs = CatalogHolder(self._relay)
+        self.outcomes: dict[str, list[RunOutcome]] = defaultdict(list)
+        self.barred: dict[str, float] = {}
+        self.recent: dict[tuple[str, str], None] = {}
+        self.report_due = False
+        self.tasks: set[asyncio.Task[Any]] = set()
+        node.handler = self.handle
+        node.on_peer_up = self._peer_up
+        node.on_peer_down = self._peer_down
+
+    def announce(self, executor: Executor) -> None:
+        """Take what the executor says of itself."""
+        self.keeper.announce(executor)
+
+    def leave(self, executor_id: str) -> None:
+        """Note that the executor has said that it ends."""
+        self.keeper.leave(executor_id)
+
+    async def run(self) -> None:
+        """Report to the fronts until cancelled."""
+        while True:
+            await asyncio.sleep(REPORT_INTERVAL_S)
+            self._changed()
+
+    async def drain(self, most_s: float) -> None:
+        """Take no more runs, and wait for those that are held."""
+        self.keeper.stopping = True
+        self._changed()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(most_s):
+                await self.keeper.emptied.wait()
+        for held in list(self.keeper.runs.values()):
+            self.keeper.stop(held)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(STOP_WAIT_S):
+                await self.keeper.emptied.wait()
+
+    def report(self) -> WorkerReport:
+        """Return what can be started now."""
+        keeper = self.keeper
+        executor = keeper.executor
+        if executor is None:
+            return WorkerReport('', '', '', [], 0, 0, 0, 0, 0, 0, False, 'good')
+        free = keeper.free
+        whole = executor.capacity
+        is_accepting = not keeper.refusal(Room())
+        return WorkerReport(
+            executor=executor.life,
+            pool=executor.pool,
+            failure_domain=self.node.hello.failure_domain,
+            labels=list(executor.labels),
+            cpu=whole.cpu,
+            memory_mb=whole.memory_mb,
+            gpu=whole.gpu,
+            free_cpu=free.cpu,
+            free_memory_mb=free.memory_mb,
+            free_gpu=free.gpu,
+            accepting=is_accepting,
+            health=keeper.health_state(),
+            run_ratio=keeper.run_ratio,
+        )
+
+    async def handle(self, channel: Channel, message: Any) -> Any:
+        """Serve a message of a front."""
+        if isinstance(message, StartRuns):
+            return self._start(channel, message)
+        if isinstance(message, StopRuns):
+            return self._stop(channel, message)
+        if isinstance(message, HeldRuns):
+            return self._reconcile(channel, message)
+        if isinstance(message, CatalogUpdate):
+            if message.version > self.catalogs.version:
+                self.catalogs.offer(decode_catalog(message), channel.peer.node)
+            return None
+        return None
+
+    def _start(self, channel: Channel, message: StartRuns) -> RunsTaken:
+        owner = channel.peer.incarnation
+        reason = ''
+        taken = []
+        for order in message.orders:
+            if self._is_known(owner, order):
+                # A repeated request; its first reply was lost.
+                taken.append(order.task)
+                continue
+            refusal = self._refusal(message, order)
+            if refusal:
+                reason = refusal
+            else:
+                taken.append(order.task)
+                self.keeper.start(_held(owner, message, order))
+        if reason:
+            logger.bind(
+                request_id=message.job_id,
+                peer=channel.peer.node,
+                taken=len(taken),
+                refused=len(message.orders) - len(taken),
+                free_cpu=self.keeper.free.cpu,
+            ).info('runs refused: {}', reason)
+        return RunsTaken(taken, reason, self.report())
+
+    def _is_known(self, owner: str, order: RunOrder) -> bool:
+        held = self.keeper.runs.get((order.task, order.run))
+        if held is not None:
+            return held.owner == owner
+        return (owner, run_key(order.task, order.run)) in self.recent
+
+    def _refusal(self, message: StartRuns, order: RunOrder) -> str:
+        executor = self.keeper.executor
+        if executor is not None and executor.pool != message.pool:
+            return 'another pool'
+        if run_key(order.task, order.run) in self.barred:
+            return 'stopped before'
+        if any(held.task == order.task for held in self.keeper.runs.values()):
+            return 'another run of the task is here'
+        return self.keeper.refusal(_need(order))
+
+    def _stop(self, channel: Channel, message: StopRuns) -> None:
+        held_runs = {
+            run_key(held.task, held.run): held
+            for held in self.keeper.runs.values()
+        }
+        now = self.loop.time()
+        self.barred = {
+            key: until for key, until in self.barred.items() if until > now
+        }
+        missing = []
+        for key in message.runs:
+            if key in held_runs:
+                self.keeper.stop(held_runs[key])
+            else:
+                self.barred[key] = now + BARRED_S
+                missing.append(key)
+        self._report_missing(channel, missing)
+        logger.bind(
+            request_id=message.runs[0] if message.runs else '',
+            peer=channel.peer.node,
+            runs=len(message.runs),
+            missing=len(missing),
+        ).info('runs stopped: {}', message.reason)
+
+    def _reconcile(self, channel: Channel, message: HeldRuns) -> None:
+        owner = channel.peer.incarnation
+        here = {
+            run_key(held.task, held.run): held
+            for held in self.keeper.runs.values()
+            if held.owner == owner
+        }
+        for key in here.keys() - {*message.runs, *message.ordered}:
+            self.keeper.stop(here[key])
+        missing = [key for key in message.runs if key not in here]
+        self._report_missing(channel, missing)
+
+    def _report_missing(self, channel: Channel, keys: list[str]) -> None:
+        # Ends that are on their way to the front arrive first, on the same
+        # channel, and the front ignores a second end of a run.
+        for key in keys:
+            task, _, run = key.rpartition('/')
+            self._queue_outcome(
+                channel.peer.incarnation,
+                RunOutcome(task, int(run), RunEnd.LAPSED),
+            )
+
+    def _ended(self, result: RunResult) -> None:
+        held = result.held
+        self.recent[(held.owner, run_key(held.task, held.run))] = None
+        while len(self.recent) > MAX_RECENT:
+            self.recent.pop(next(iter(self.recent)))
+        logger.bind(
+            request_id=held.job_id,
+            task=held.task,
+            run=held.run,
+            run_ms=round(result.run_ms),
+            estimate_ms=round(held.estimate_ms),
+            health=self.keeper.health_state(),
+        ).info('run ended: {}', result.how.value)
+        self._queue_outcome(
+            held.owner,
+            RunOutcome(
+                held.task, held.run, result.how, result.run_ms, result.suspect
+            ),
+        )
+
+    def _queue_outcome(self, owner: str, outcome: RunOutcome) -> None:
+        if not self.outcomes[owner]:
+            self.loop.call_soon(self._send_outcomes, owner)
+        self.outcomes[owner].append(outcome)
+
+    def _send_outcomes(self, owner: str) -> None:
+        outcomes = self.outcomes.pop(owner, [])
+        channel = next(
+            (x for x in self.node.channels if x.peer.incarnation == owner), None
+        )
+        if channel is not None and outcomes:
+            task = self.loop.create_task(_tell(channel, RunsEnded(outcomes)))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    def _changed(self) -> None:
+        if not self.report_due:
+            self.report_due = True
+            self.loop.call_soon(self._send_report)
+
+    def _send_report(self) -> None:
+        self.report_due = False
+        report = self.report()
+        for channel in self.node.channels:
+            if channel.links and channel.peer.role == 'front':
+                channel.notify(report)
+
+    def _relay(self, _catalog: Catalog) -> None:
+        update = self.catalogs.update()
+        for channel in self.node.channels:
+            if channel.links:
+                channel.notify(update)
+
+    def _peer_up(self, channel: Channel) -> None:
+        if channel.peer.role != 'front':
+            return
+        channel.notify(self.report())
+        if self.catalogs.version:
+            channel.notify(self.catalogs.update())
+
+    def _peer_down(self, channel: Channel) -> None:
+        stopped = self.keeper.stop_owner(channel.peer.incarnation)
+        logger.bind(
+            step='front', peer=channel.peer.node, runs_stopped=stopped
+        ).info('front lost')
+
+
+def _need(order: RunOrder) -> Room:
+    return Room(order.cpu, order.memory_mb, order.gpu)
+
+
+def _held(owner: str, message: StartRuns, order: RunOrder) -> HeldRun:
+    return HeldRun(
+        owner,
+        message.job_id,
+        order.task,
+        order.run,
+        _need(order),
+        message.spec,
+        order.checkpoint,
+        order.estimate_ms,
+    )
+
+
+async def _tell(channel: Channel, message: RunsEnded) -> None:
+    try:
+        await channel.request(message, REPORT_TIMEOUT_S)
+    except LimpetlandingError as error:
+        logger.bind(
+            step='report', peer=channel.peer.node, runs=len(message.outcomes)
+        ).info('front did not take the ends of runs: {}', error)
