Test the platform path against stand-ins of executor and store

Cause found by the tests: a heartbeat without capacity answered 500 instead of 400; the lease of a silent executor was asked for again with each unanswered inventory, so its runs never counted as ended; of several configurations in one read only the last was looked at.

Change: two unanswered inventories stop the renewals; announcements need all fields and a known pool; records are taken one by one.

--- a/src/limpetlanding/platform/control.py
+++ b/src/limpetlanding/platform/control.py
@@ -4,7 +4,7 @@
 from loguru import logger
 
 from limpetlanding.platform.decode import Malformed, decode_executor
-from limpetlanding.runs import Worker
+from limpetlanding.runs import UnknownPool, Worker
 
 
 def control_app(worker: Worker) -> web.Application:
@@ -15,7 +15,7 @@
         body = await request.read()
         try:
             worker.announce(decode_executor(executor_id, body))
-        except Malformed as error:
+        except (Malformed, UnknownPool) as error:
             logger.bind(step='announce', peer=executor_id).info(
                 'announcement ignored: {}', error.detail
             )
--- a/src/limpetlanding/platform/decode.py
+++ b/src/limpetlanding/platform/decode.py
@@ -91,9 +91,11 @@
     fields = load_object(body, 'configure')
     limits = _field(fields, 'limits', dict, {}, 'configure')
     routes = _field(fields, 'routes', list, [], 'configure')
+    services = _field(fields, 'services', list, [], 'configure')
     return Catalog(
         version=_field(fields, 'version', int, 0, 'configure'),
         queues=[_decode_queue(route) for route in routes],
+        pools=[_decode_pool(x) for x in services],
         max_body_bytes=_field(
             limits, 'maxBodyBytes', int, 262_144, 'configure'
         ),
@@ -192,6 +194,12 @@
     )
 
 
+def _decode_pool(fields: Any) -> str:
+    if not isinstance(fields, dict):
+        raise Malformed('a service is not an object', step='configure')
+    return _required(fields, 'name', str, 'configure')
+
+
 def _decode_room(fields: dict[str, Any], step: str) -> Room:
     return Room(
         cpu=_field(fields, 'cpu', int, 0, step),
@@ -220,6 +228,6 @@
 
 
 def _required(fields: dict[str, Any], name: str, kind: type, step: str) -> Any:
-    if name not in fields:
+    if fields.get(name) is None:
         raise Malformed(f'{name} is missing', step=step)
     return _field(fields, name, kind, None, step)
--- a/src/limpetlanding/platform/store.py
+++ b/src/limpetlanding/platform/store.py
@@ -28,6 +28,9 @@
 CALL_TIMEOUT_S = 1
 """The store answers in 4 ms, or in 240 ms while it is slow."""
 
+Record = tuple[str, bytes]
+"""Key and value."""
+
 _OK = 200
 _GONE = 410
 _NUMBER_BYTES = 8
@@ -52,16 +55,17 @@
     async def newest_catalog(self) -> Catalog | None:
         """Return the newest configuration; see `StorePort`."""
         newest, _ = await self._newest(CONFIG_TOPIC)
-        return _catalog(newest.get(CONFIG_KEY))
+        return _catalog(dict(newest).get(CONFIG_KEY))
 
     async def catalogs(self) -> AsyncIterator[Catalog]:
         """Yield configurations as they are published."""
         async for changes in self._changes(
             CONFIG_TOPIC, CONFIG_WAIT_MS, CONFIG_TIMEOUT_S
         ):
-            catalog = _catalog(changes.get(CONFIG_KEY))
-            if catalog is not None:
-                yield catalog
+            for key, value in changes:
+                catalog = _catalog(value) if key == CONFIG_KEY else None
+                if catalog is not None:
+                    yield catalog
 
     async def register_worker(self, name: str, address: str) -> None:
         """Record the address of a worker; see `StorePort`."""
@@ -79,7 +83,7 @@
         async for changes in self._changes(
             WORKERS_TOPIC, WORKERS_WAIT_MS, WORKERS_TIMEOUT_S
         ):
-            yield {key: value.decode() for key, value in changes.items()}
+            yield {key: value.decode() for key, value in changes}
 
     async def close(self) -> None:
         """Close all connections."""
@@ -87,7 +91,7 @@
 
     async def _changes(
         self, topic: str, wait_ms: int, timeout_s: float
-    ) -> AsyncIterator[dict[str, bytes]]:
+    ) -> AsyncIterator[list[Record]]:
         end: int | None = None
         while True:
             if end is None:
@@ -98,7 +102,7 @@
 
     async def _read(
         self, topic: str, start: int, wait_ms: int, timeout_s: float
-    ) -> tuple[dict[str, bytes], int | None]:
+    ) -> tuple[list[Record], int | None]:
         query = {
             'topic': topic,
             'part': '0',
@@ -108,20 +112,20 @@
         status, content = await self._call('GET', 'log-read', query, timeout_s)
         if status == _GONE:
             # The records have expired; the newest of each key are kept.
-            return {}, None
+            return [], None
         return _decode_records(content, start)
 
-    async def _newest(self, topic: str) -> tuple[dict[str, bytes], int]:
+    async def _newest(self, topic: str) -> tuple[list[Record], int]:
         newest, end, last_key = await self._page(topic, '')
         while last_key:
             # Pages are no snapshot, so reading goes on from the first end.
             page, _, last_key = await self._page(topic, last_key)
-            newest |= page
+            newest += page
         return newest, end
 
     async def _page(
         self, topic: str, after_key: str
-    ) -> tuple[dict[str, bytes], int, str]:
+    ) -> tuple[list[Record], int, str]:
         query = {'topic': topic, 'part': '0'}
         if after_key:
             query['dependsOn'] = after_key
@@ -179,10 +183,10 @@
         return None
 
 
-def _decode_page(content: bytes) -> tuple[dict[str, bytes], int, str]:
+def _decode_page(content: bytes) -> tuple[list[Record], int, str]:
     page = orjson.loads(content)
     items = page['items']
-    values = {x['key']: base64.b64decode(x['value']) for x in items}
+    values = [(x['key'], base64.b64decode(x['value'])) for x in items]
     last_key = items[-1]['key'] if page['hasMore'] else ''
     return values, page['end'], last_key
 
@@ -199,17 +203,17 @@
     return len(content).to_bytes(_LENGTH_BYTES, 'big') + content
 
 
-def _decode_records(content: bytes, start: int) -> tuple[dict[str, bytes], int]:
+def _decode_records(content: bytes, start: int) -> tuple[list[Record], int]:
     records = list(_records(content[2 * _NUMBER_BYTES :]))
-    changes: dict[str, bytes] = {}
-    for record in records:
-        if not record:
-            continue
-        size = 1 + record[0]
-        key = record[1:size].decode(errors='replace')
-        if record[size:]:
-            changes[key] = record[size:]
-    return changes, start + len(records)
+    changes = [_decode_record(record) for record in records if record]
+    # A record without a value drops its key.
+    kept = [(key, value) for key, value in changes if value]
+    return kept, start + len(records)
+
+
+def _decode_record(record: bytes) -> Record:
+    size = 1 + record[0]
+    return record[1:size].decode(errors='replace'), record[size:]
 
 
 def _records(content: bytes) -> Iterator[bytes]:
--- /dev/null
+++ b/src/limpetlanding/platform/tests/rig.py
@@ -0,0 +1,255 @@
+"""A small system on the platform: fronts, workers, executors and a store."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from random import Random
+
+import aiohttp
+import orjson
+from aiohttp import web
+
+from limpetlanding.platform.control import control_app
+from limpetlanding.platform.executor import ExecutorClient
+from limpetlanding.platform.ingress import client_app, readiness_app
+from limpetlanding.platform.roles import LINKS
+from limpetlanding.platform.store import CONFIG_KEY, CONFIG_TOPIC, LogStore
+from limpetlanding.runs import Front, Worker
+from limpetlanding.standin.platform_executor import StandinExecutor
+from limpetlanding.standin.platform_store import StandinStore
+from limpetlanding.wire import PROTOCOL_VERSION, Hello, Node, NodeOptions
+
+HOST = 'desk.example'
+STORE_PORT = 7000
+LINK_PORT = 7100
+EXECUTOR_PORT = 7200
+CONTROL_PORT = 7300
+CLIENT_PORT = 7400
+READINESS_PORT = 7500
+HEARTBEAT_S = 1.5
+
+
+def config(version=1, **changes):
+    """Return a configuration with one queue."""
+    route = {
+        'name': 'r1',
+        'host': HOST,
+        'pathPrefix': '/quote/',
+        'service': 'desk',
+        'maxAttempts': 2,
+        'stretch': 1.6,
+        'targetLatencyMs': 60,
+    }
+    return {
+        'version': version,
+        'routes': [route | changes],
+        'services': [{'name': 'desk'}],
+        'limits': {'maxBodyBytes': 20_000},
+    }
+
+
+def body(count=2, **changes):
+    """Return the body of a submission with one step."""
+    step = {'count': count, 'cpu': 3000, 'memMb': 64, 'estimateMs': 100}
+    return {'spec': 'x', 'bestEffort': True, 'pipeline': [step | changes]}
+
+
+@asynccontextmanager
+async def serve(app, port):
+    """Serve an application at a port of the loop."""
+    runner = web.AppRunner(
+        app, access_log=None, handler_cancellation=True, shutdown_timeout=0
+    )
+    await runner.setup()
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(runner.server, '127.0.0.1', port)
+    try:
+        yield
+    finally:
+        server.close()
+        await runner.cleanup()
+
+
+@asynccontextmanager
+async def running(work):
+    """Run a coroutine within the block."""
+    task = asyncio.create_task(work)
+    try:
+        yield
+    finally:
+        task.cancel()
+        await asyncio.wait([task])
+
+
+def new_node(role, name, number, life=1):
+    """Return a node whose link port follows from its number."""
+    hello = Hello(
+        PROTOCOL_VERSION,
+        role,
+        name,
+        f'{name}-life-{life}',
+        'z1',
+        f'127.0.0.1:{LINK_PORT + number}',
+        '',
+    )
+    return Node(hello, None, NodeOptions(timing=LINKS, rng=Random(1)))
+
+
+class System:
+    """Fronts 0 and 1, workers 0 to `worker_count` - 1, and a client."""
+
+    def __init__(self, worker_count=2, front_count=1):
+        self.worker_count = worker_count
+        self.front_count = front_count
+        self.store = StandinStore()
+        self.fronts = []
+        self.workers = []
+        self.executors = []
+        self.stacks = {}
+        self.beats = []
+        self.session = None
+
+    @asynccontextmanager
+    async def run(self) -> AsyncIterator['System']:
+        """Run everything within the block."""
+        async with AsyncExitStack() as stack:
+            self.store.put(CONFIG_TOPIC, CONFIG_KEY, config())
+            await stack.enter_async_context(serve(self.store.app(), STORE_PORT))
+            self.session = aiohttp.ClientSession()
+            stack.push_async_callback(self.session.close)
+            for number in range(self.worker_count):
+                await self.start_executor(stack, number)
+                await self.start_worker(number)
+            for number in range(self.front_count):
+                await self.start_front(number)
+            await self.settle()
+            try:
+                yield self
+            finally:
+                for name in list(self.stacks):
+                    await self.kill(name)
+
+    async def settle(self, seconds=2.5):
+        """Let links come up and executors announce themselves."""
+        await asyncio.sleep(seconds)
+
+    async def start_executor(self, stack, number):
+        """Start an executor that announces itself."""
+        executor = StandinExecutor(f'i-{number}')
+        self.executors.append(executor)
+        await stack.enter_async_context(
+            serve(executor.app(), EXECUTOR_PORT + number)
+        )
+        await stack.enter_async_context(running(self.beat(number)))
+
+    async def beat(self, number):
+        """Send heartbeats of an executor for ever."""
+        executor = self.executors[number]
+        while True:
+            await self.announce(number, executor.announcement())
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def announce(self, number, fields):
+        """Send one heartbeat; return the status, None without answer."""
+        executor_id = self.executors[number].executor_id
+        url = f'http://127.0.0.1:{CONTROL_PORT + number}'
+        try:
+            async with self.session.put(
+                f'{url}/api/instances/{executor_id}', data=orjson.dumps(fields)
+            ) as response:
+                return response.status
+        except (aiohttp.ClientError, OSError):
+            return None
+
+    async def start_worker(self, number, life=1):
+        """Start the worker beside an executor."""
+        stack = AsyncExitStack()
+        node = new_node('worker', f'w{number}', number, life)
+        port = ExecutorClient(f'127.0.0.1:{EXECUTOR_PORT + number}')
+        worker = Worker(node, port)
+        stack.push_async_callback(worker.keeper.close)
+        stack.push_async_callback(node.stop, False)
+        await node.start()
+        await stack.enter_async_context(
+            serve(control_app(worker), CONTROL_PORT + number)
+        )
+        await stack.enter_async_context(running(worker.run()))
+        store = LogStore(f'127.0.0.1:{STORE_PORT}')
+        stack.push_async_callback(store.close)
+        await store.register_worker(f'w{number}', node.hello.address)
+        self.stacks[f'w{number}'] = stack
+        self.workers[number : number + 1] = [worker]
+
+    async def start_front(self, number, life=1):
+        """Start a front."""
+        stack = AsyncExitStack()
+        node = new_node('front', f'f{number}', 50 + number, life)
+        store = LogStore(f'127.0.0.1:{STORE_PORT}')
+        front = Front(node, store, [], Random(2))
+        stack.push_async_callback(store.close)
+        stack.push_async_callback(node.stop, False)
+        await node.start()
+        await stack.enter_async_context(running(front.run()))
+        for app, port in (
+            (client_app(front), CLIENT_PORT),
+            (readiness_app(front), READINESS_PORT),
+        ):
+            await stack.enter_async_context(serve(app, port + number))
+        self.stacks[f'f{number}'] = stack
+        self.fronts[number : number + 1] = [front]
+
+    async def kill(self, name):
+        """End a front or worker at once."""
+        await self.stacks.pop(name).aclose()
+
+    async def call(self, method, path, content=None, wait_ms=2000, front=0):
+        """Send a request; return status, body and headers."""
+        async with self.session.request(
+            method,
+            f'http://127.0.0.1:{CLIENT_PORT + front}{path}',
+            data=None if content is None else orjson.dumps(content),
+            headers={'Host': HOST, 'X-Deadline-Ms': str(wait_ms)},
+        ) as response:
+            received = await response.read()
+            fields = orjson.loads(received) if received else {}
+            return response.status, fields, response.headers
+
+    async def submit(self, job_id, content=None, wait_ms=2000, front=0):
+        """Submit a job; return status and body."""
+        status, fields, _ = await self.call(
+            'POST', f'/quote/{job_id}', content or body(), wait_ms, front
+        )
+        return status, fields
+
+    def history(self):
+        """Return all runs of all executors."""
+        return [run for x in self.executors for run in x.history]
+
+
+def overlaps(history):
+    """Return pairs of runs of one task that ran at the same time."""
+    return [
+        (one, other)
+        for one in history
+        for other in history
+        if one.task == other.task
+        and one is not other
+        and one.begun <= other.begun
+        and (one.ended is None or other.begun < one.ended)
+    ]
+
+
+def most_cpu(executor, cpu_per_run):
+    """Return the most room that was occupied at any start."""
+    return max(
+        (
+            sum(
+                cpu_per_run
+                for other in executor.history
+                if other.begun <= run.begun
+                and (other.ended is None or other.ended > run.begun)
+            )
+            for run in executor.history
+        ),
+        default=0,
+    )
--- /dev/null
+++ b/src/limpetlanding/platform/tests/test_jobs.py
@@ -0,0 +1,291 @@
+"""Jobs through the whole path, against stand-ins of executors and store."""
+
+import asyncio
+
+import pytest
+
+from limpetlanding.platform.tests.rig import (
+    System,
+    body,
+    config,
+    most_cpu,
+    overlaps,
+)
+
+JOB = '5c0e7a21d94b36f8'
+OTHER = '5c0e7a21d94b36f9'
+
+
+class TestServing:
+    """Guards against jobs that are lost or answered wrongly on a calm day."""
+
+    async def test_job_completes(self):
+        async with System().run() as system:
+            assert await system.submit(JOB) == (200, {'state': 'completed'})
+            assert len(system.history()) == 2
+
+    async def test_steps_follow_their_dependencies(self):
+        content = body()
+        content['pipeline'].append({'count': 1, 'cpu': 100, 'dependsOn': [0]})
+        async with System().run() as system:
+            status, _ = await system.submit(JOB, content)
+            assert status == 200
+            first = [x for x in system.history() if '.0.0.' in x.task]
+            second = [x for x in system.history() if '.0.1.' in x.task]
+            assert second[0].begun >= max(run.ended for run in first)
+
+    async def test_capacity_is_never_exceeded(self):
+        async with System(worker_count=1).run() as system:
+            executor = system.executors[0]
+            jobs = [
+                system.submit(f'{number:016x}', body(8), 9000)
+                for number in range(6)
+            ]
+            answers = await asyncio.gather(*jobs)
+            assert {status for status, _ in answers} == {200}
+            assert most_cpu(executor, 3000) <= executor.cpu
+
+    async def test_failing_task_fails_its_job_after_its_attempts(self):
+        async with System().run() as system:
+            for executor in system.executors:
+                executor.faults.fails = True
+            assert await system.submit(JOB, body(1)) == (
+                200,
+                {'state': 'failed'},
+            )
+            assert len(system.history()) == 2
+
+    @pytest.mark.parametrize('field', ['gang', 'longRunning'])
+    async def test_unsupported_work_is_refused_and_never_runs(self, field):
+        async with System().run() as system:
+            status, fields, headers = await system.call(
+                'POST', f'/quote/{JOB}', body(**{field: True})
+            )
+            assert status == 503
+            assert field in fields['error']
+            assert headers['Retry-After'] == '1'
+            assert not system.history()
+
+    async def test_malformed_job_is_rejected(self):
+        async with System().run() as system:
+            status, _ = await system.submit(JOB, {'bestEffort': True})
+            assert status == 400
+
+    async def test_unknown_queue_job_and_path(self):
+        async with System().run() as system:
+            assert (await system.call('GET', f'/none/{JOB}'))[0] == 404
+            assert (await system.call('GET', f'/quote/{JOB}'))[0] == 410
+            assert (await system.call('GET', '/quote/'))[:2] == (
+                200,
+                {'waiting': 0},
+            )
+
+    async def test_job_that_cannot_start_is_refused_as_not_run(self):
+        async with System().run() as system:
+            status, _ = await system.submit(JOB, body(1, cpu=99_000), 800)
+            assert status == 503
+            assert not system.history()
+
+    async def test_second_submission_joins_the_first(self):
+        async with System().run() as system:
+            answers = await asyncio.gather(
+                system.submit(JOB), system.submit(JOB)
+            )
+            assert [status for status, _ in answers] == [200, 200]
+            assert len(system.history()) == 2
+
+
+class TestConfiguration:
+    """Guards against queues that are served after their removal."""
+
+    async def test_change_is_in_force_within_two_seconds(self):
+        async with System().run() as system:
+            system.store.put('keyed.op', 'config', config(9, pathPrefix='/b/'))
+            await asyncio.sleep(0.1)
+            assert (await system.call('GET', '/b/'))[0] == 200
+            assert (await system.call('GET', '/quote/'))[0] == 404
+
+    async def test_older_version_is_ignored(self):
+        async with System().run() as system:
+            system.store.put('keyed.op', 'config', config(9))
+            system.store.put('keyed.op', 'config', config(8, pathPrefix='/b/'))
+            await asyncio.sleep(0.1)
+            assert (await system.call('GET', '/b/'))[0] == 404
+
+    async def test_forgotten_history_is_read_anew(self):
+        async with System().run() as system:
+            system.store.put('keyed.op', 'config', config(2))
+            system.store.put('keyed.op', 'config', config(3, pathPrefix='/b/'))
+            system.store.forget('keyed.op')
+            await asyncio.sleep(0.1)
+            assert (await system.call('GET', '/b/'))[0] == 200
+
+    async def test_new_front_learns_all_from_workers_while_store_is_out(self):
+        async with System(front_count=1).run() as system:
+            system.store.faults.status = 503
+            await system.kill('f0')
+            await system.start_front(0, life=2)
+            await system.settle()
+            assert (await system.submit(JOB))[0] == 200
+
+    async def test_lost_answers_of_the_store_do_not_stop_service(self):
+        async with System().run() as system:
+            system.store.faults.silent = True
+            await asyncio.sleep(3)
+            assert (await system.submit(JOB))[0] == 200
+            system.store.faults.silent = False
+            system.store.put('keyed.op', 'config', config(9, pathPrefix='/b/'))
+            await asyncio.sleep(2)
+            assert (await system.call('GET', '/b/'))[0] == 200
+
+
+class TestExecutorFaults:
+    """Guards against tasks that run twice at once, or are lost."""
+
+    async def test_silent_executor_loses_its_lease_before_a_second_start(self):
+        async with System().run() as system:
+            for executor in system.executors:
+                executor.work_s = lambda task: 1.5
+            job = asyncio.create_task(system.submit(JOB, body(4), 9000))
+            await asyncio.sleep(0.3)
+            system.executors[0].faults.silent = True
+            assert (await job)[0] == 200
+            assert not overlaps(system.history())
+
+    async def test_late_orders_are_barred(self):
+        async with System().run() as system:
+            system.executors[0].faults.late_orders_s = 3
+            job = asyncio.create_task(system.submit(JOB, body(4), 9000))
+            await asyncio.sleep(1)
+            system.executors[0].faults.late_orders_s = None
+            assert (await job)[0] == 200
+            await asyncio.sleep(5)
+            assert not overlaps(system.history())
+            assert len(system.history()) == 4
+
+    async def test_restarted_executor_is_noticed(self):
+        async with System().run() as system:
+            for executor in system.executors:
+                executor.work_s = lambda task: 1
+            job = asyncio.create_task(system.submit(JOB, body(4), 9000))
+            await asyncio.sleep(0.3)
+            system.executors[0].restart('i-new')
+            assert (await job)[0] == 200
+            assert not overlaps(system.history())
+
+    async def test_stalled_run_is_started_elsewhere(self):
+        async with System().run() as system:
+            system.executors[0].faults.stalls = True
+            assert (await system.submit(JOB, body(4), 9000))[0] == 200
+            assert not overlaps(system.history())
+
+    async def test_failing_executor_does_not_fail_jobs(self):
+        async with System(worker_count=3).run() as system:
+            system.executors[0].faults.fails = True
+            states = []
+            for number in range(12):
+                _, fields = await system.submit(f'{number:016x}', body(3))
+                states.append(fields['state'])
+            assert states[3:] == ['completed'] * 9
+
+    async def test_unhealthy_executor_is_avoided(self):
+        async with System().run() as system:
+            system.executors[0].faults.unhealthy = True
+            assert (await system.submit(JOB, body(4)))[0] == 200
+
+    async def test_draining_executor_gets_nothing_more(self):
+        async with System().run() as system:
+            system.executors[0].draining = True
+            await asyncio.sleep(1.6)
+            await system.submit(JOB, body(4))
+            assert not system.executors[0].history
+
+    async def test_unreadable_announcement_changes_nothing(self):
+        async with System().run() as system:
+            fields = system.executors[0].announcement()
+            for change in (
+                {'state': 'odd'},
+                {'seq': 'one'},
+                {'capacity': None},
+                {'service': 7},
+                {'service': 'elsewhere'},
+            ):
+                assert await system.announce(0, fields | change) == 400
+            assert (await system.submit(JOB))[0] == 200
+
+
+class TestClients:
+    """Guards against work that goes on for clients that have left."""
+
+    async def test_client_that_leaves_stops_its_runs(self):
+        async with System().run() as system:
+            for executor in system.executors:
+                executor.work_s = lambda task: 5
+            job = asyncio.create_task(system.submit(JOB, body(2), 9000))
+            await asyncio.sleep(0.5)
+            job.cancel()
+            await asyncio.sleep(0.3)
+            assert {run.how for run in system.history()} == {'stopped'}
+
+    async def test_job_sent_again_runs_alone(self):
+        async with System().run() as system:
+            for executor in system.executors:
+                executor.work_s = lambda task: 0.6
+            job = asyncio.create_task(system.submit(JOB, body(2), 9000))
+            await asyncio.sleep(0.3)
+            job.cancel()
+            assert (await system.submit(JOB, body(2), 9000))[0] == 200
+            assert not overlaps(system.history())
+
+    async def test_unfinished_job_is_given_up_in_time(self):
+        async with System().run() as system:
+            for executor in system.executors:
+                executor.work_s = lambda task: 5
+            assert (await system.submit(JOB, body(2), 700))[0] == 504
+            await asyncio.sleep(0.3)
+            assert {run.how for run in system.history()} == {'stopped'}
+
+    async def test_cancelled_job_ends(self):
+        async with System().run() as system:
+            for executor in system.executors:
+                executor.work_s = lambda task: 5
+            job = asyncio.create_task(system.submit(JOB, body(2), 9000))
+            await asyncio.sleep(0.3)
+            state = await system.call('GET', f'/quote/{JOB}')
+            assert state[1] == {'state': 'running'}
+            assert (await system.call('DELETE', f'/quote/{JOB}'))[0] == 200
+            assert (await job)[1] == {'state': 'failed'}
+
+
+class TestLostProcesses:
+    """Guards against overlaps after a front or a worker has gone."""
+
+    async def test_job_of_a_dead_front_runs_alone_at_another(self):
+        async with System(front_count=2).run() as system:
+            for executor in system.executors:
+                executor.work_s = lambda task: 2
+            job = asyncio.create_task(system.submit(JOB, body(2), 9000))
+            await asyncio.sleep(0.3)
+            await system.kill('f0')
+            job.cancel()
+            await asyncio.sleep(1.3)
+            status, _ = await system.submit(JOB, body(2), 9000, front=1)
+            assert status == 200
+            assert not overlaps(system.history())
+
+    async def test_tasks_of_a_dead_worker_run_again(self):
+        async with System().run() as system:
+            for executor in system.executors:
+                executor.work_s = lambda task: 1.5
+            job = asyncio.create_task(system.submit(JOB, body(4), 9000))
+            await asyncio.sleep(0.3)
+            await system.kill('w0')
+            assert (await job)[0] == 200
+            assert not overlaps(system.history())
+
+    async def test_restarted_worker_serves_again(self):
+        async with System(worker_count=1).run() as system:
+            await system.kill('w0')
+            await system.start_worker(0, life=2)
+            await system.settle()
+            assert (await system.submit(JOB))[0] == 200
--- a/src/limpetlanding/runs/__init__.py
+++ b/src/limpetlanding/runs/__init__.py
@@ -17,7 +17,7 @@
     RunEnd,
     Step,
 )
-from limpetlanding.runs.worker import Worker
+from limpetlanding.runs.worker import UnknownPool, Worker
 
 __all__ = (
     'Catalog',
@@ -33,5 +33,6 @@
     'RunEnd',
     'RunKeeper',
     'Step',
+    'UnknownPool',
     'Worker',
 )
--- a/src/limpetlanding/runs/keeper.py
+++ b/src/limpetlanding/runs/keeper.py
@@ -37,6 +37,9 @@
 LOOK_TIMEOUT_S = 0.2
 """Time for an answer beyond the wait that the call asks for."""
 
+MAX_SILENT_LOOKS = 2
+"""Inventories without answer after which the lease is left to run out."""
+
 IDLE_LOOK_S = 2
 """Interval of inventories while nothing runs."""
 
@@ -151,6 +154,7 @@
         self.acknowledged_there = 0
         self.last_lease_ms = 0
         self.in_touch = False
+        self.silent_looks = 0
         self.stopping = False
         self.wake = asyncio.Event()
         self.emptied = asyncio.Event()
@@ -335,21 +339,27 @@
     async def _note_silence(self, life: str, error: Exception) -> None:
         if not self._is_current(life):
             return
-        now = self.loop.time()
-        if self.clock.is_past(self.last_lease_ms, now) or not self.runs:
-            if self.in_touch:
-                logger.bind(step='look', peer=life, runs=len(self.runs)).info(
-                    'executor silent: {}', error or 'no answer in time'
-                )
+        self.silent_looks += 1
+        if self.in_touch and self.silent_looks >= MAX_SILENT_LOOKS:
+            logger.bind(step='look', peer=life, runs=len(self.runs)).info(
+                'executor silent: {}', error or 'no answer in time'
+            )
+            # Nothing renews the lease from now on, so that it can run out.
             self.in_touch = False
-            for held in list(self.runs.values()):
-                self._finish(held, RunEnd.LAPSED, suspect=True)
             self.on_change()
+        if not self.in_touch:
+            self._give_up_lapsed()
         await asyncio.sleep(PAUSE_S)
 
+    def _give_up_lapsed(self) -> None:
+        if self.clock.is_past(self.last_lease_ms, self.loop.time()):
+            for held in list(self.runs.values()):
+                self._finish(held, RunEnd.LAPSED, suspect=True)
+
     def _absorb(self, inventory: Inventory, sent: float) -> None:
         now = self.loop.time()
         self.clock.note(inventory.clock_ms, now)
+        self.silent_looks = 0
         if not self.in_touch:
             self.in_touch = True
             self.on_change()
--- a/src/limpetlanding/runs/model.py
+++ b/src/limpetlanding/runs/model.py
@@ -145,12 +145,15 @@
         Rises with each change.
     queues : list of Queue
         All queues.
+    pools : list of str
+        All pools of workers.
     max_body_bytes : int
         Longest accepted body of a submission.
     """
 
     version: int = 0
     queues: list[Queue] = field(default_factory=list)
+    pools: list[str] = field(default_factory=list)
     max_body_bytes: int = 262_144
 
 
--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -43,6 +43,10 @@
 link arrive within a second or not at all."""
 
 
+class UnknownPool(LimpetlandingError):
+    """An executor announces itself for a pool that does not exist."""
+
+
 class Worker:
     """Runs of all fronts at the executor beside this process.
 
@@ -69,7 +73,20 @@
         node.on_peer_down = self._peer_down
 
     def announce(self, executor: Executor) -> None:
-        """Take what the executor says of itself."""
+        """Take what the executor says of itself.
+
+        Raises
+        ------
+        UnknownPool
+            If the configuration has no such pool.
+        """
+        pools = self.catalogs.catalog.pools
+        if pools and executor.pool not in pools:
+            raise UnknownPool(
+                f'unknown pool {executor.pool!r}',
+                step='announce',
+                peer=executor.life,
+            )
         self.keeper.announce(executor)
 
     def leave(self, executor_id: str) -> None:
--- /dev/null
+++ b/src/limpetlanding/standin/platform_executor.py
@@ -0,0 +1,273 @@
+"""Stand-in for an executor of the users' platform, after its protocol page.
+
+It starts whatever it is told, keeps everything under one lease, and can leave
+orders unanswered, carry them out late, fail or stall runs. `history` records
+what ran when, for checks.
+"""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import web
+
+HOLD_MAX_MS = 1000
+STOP_S = 0.05
+MAX_ENDS = 500
+LEASE_CHECK_S = 0.02
+
+
+@dataclass(slots=True, eq=False)
+class StandinRun:
+    """One run.
+
+    Parameters
+    ----------
+    task : str
+        Name of the task.
+    run : int
+        Number of the run.
+    begun : float
+        When it began, in seconds of the event loop.
+    work_s : float
+        Time that the work takes.
+    """
+
+    task: str
+    run: int
+    begun: float
+    work_s: float
+    ended: float | None = None
+    how: str = ''
+    stopping: bool = False
+
+
+@dataclass(slots=True)
+class ExecutorFaults:
+    """Faults that can be switched while it runs.
+
+    Parameters
+    ----------
+    silent : bool
+        Calls get no answer and do nothing.
+    late_orders_s : float or None
+        Starts and stops get no answer and are carried out after this time.
+    fails : bool
+        Runs end as failed at once.
+    stalls : bool
+        New runs make no progress.
+    unhealthy : bool
+        Starts are refused with 503.
+    """
+
+    silent: bool = False
+    late_orders_s: float | None = None
+    fails: bool = False
+    stalls: bool = False
+    unhealthy: bool = False
+
+
+@dataclass(slots=True)
+class StandinExecutor:
+    """One executor and its lives.
+
+    Parameters
+    ----------
+    executor_id : str
+        Id of the present life.
+    cpu : int
+        Capacity, in thousandths of a core.
+    work_s : callable
+        Time that a task takes, by its name.
+    """
+
+    executor_id: str
+    cpu: int = 32_000
+    work_s: Callable[[str], float] = lambda task: 0.1
+    pool: str = 'desk'
+    labels: tuple[str, ...] = ('a', 'r1-1')
+    born_ms: int = 1_000
+    clock_rate: float = 1.0
+    faults: ExecutorFaults = field(default_factory=ExecutorFaults)
+    runs: dict[str, StandinRun] = field(default_factory=dict)
+    highest: dict[str, int] = field(default_factory=dict)
+    ends: list[tuple[int, StandinRun]] = field(default_factory=list)
+    end_count: int = 0
+    lease_ms: float = 0
+    began: float = 0
+    sequence: int = 0
+    draining: bool = False
+    history: list[StandinRun] = field(default_factory=list)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def app(self) -> web.Application:
+        """Return the application that serves its calls."""
+        app = web.Application()
+        app.router.add_post('/api/run-start', self._serve(self._start, True))
+        app.router.add_post('/api/run-stop', self._serve(self._stop, True))
+        app.router.add_post('/api/hold', self._serve(self._hold, False))
+        return app
+
+    def restart(self, executor_id: str) -> None:
+        """Begin another life, which knows nothing of before."""
+        now = _now()
+        for run in self.runs.values():
+            run.ended = now
+            run.how = 'crashed'
+        self.runs = {}
+        self.highest = {}
+        self.ends = []
+        self.end_count = 0
+        self.lease_ms = 0
+        self.sequence = 0
+        self.executor_id = executor_id
+        self.born_ms += 1_000
+        self.began = now
+
+    def announcement(self) -> dict[str, Any]:
+        """Return the body of the next heartbeat."""
+        self.sequence += 1
+        return {
+            'service': self.pool,
+            'address': '10.0.0.9:80',
+            'zone': 'z1',
+            'version': 'v1',
+            'slots': 8,
+            'state': 'draining' if self.draining else 'ready',
+            'capacity': {'cpu': self.cpu, 'memMb': 65_536},
+            'labels': list(self.labels),
+            'clockMs': self.clock_ms(),
+            'seq': self.sequence,
+            'born': self.born_ms,
+        }
+
+    def clock_ms(self) -> int:
+        """Return its steady clock."""
+        return int((_now() - self.began) * 1000 * self.clock_rate) + 5_000
+
+    def advance(self) -> None:
+        """End the runs that are done or whose lease has passed."""
+        now = _now()
+        is_lapsed = self.clock_ms() >= self.lease_ms
+        for run in list(self.runs.values()):
+            if not run.stopping and now - run.begun >= run.work_s:
+                self._end(run, 'failed' if self.faults.fails else 'done')
+            elif is_lapsed:
+                self._end(run, 'lapsed')
+
+    def _serve(self, act: Any, is_order: bool) -> Any:
+        async def serve(request: web.Request) -> web.StreamResponse:
+            fields = await request.json()
+            expected = request.headers.get('X-Expect-Instance')
+            if self.faults.silent:
+                await asyncio.sleep(3600)
+            if is_order and self.faults.late_orders_s is not None:
+                await asyncio.shield(self._carry_out_late(act, fields))
+                await asyncio.sleep(3600)
+            if expected and expected != self.executor_id:
+                return web.Response(status=421)
+            return await act(fields)
+
+        return serve
+
+    def _carry_out_late(self, act: Any, fields: dict[str, Any]) -> Any:
+        async def carry_out() -> None:
+            await asyncio.sleep(self.faults.late_orders_s or 0)
+            await act(fields)
+
+        return asyncio.ensure_future(carry_out())
+
+    async def _start(self, fields: dict[str, Any]) -> web.Response:
+        self.advance()
+        task, number = fields['task'], fields['run']
+        if self.faults.unhealthy:
+            return web.Response(status=503)
+        if fields['deadlineMs'] <= self.clock_ms():
+            return self._answer(409, reason='late')
+        self._extend(fields['deadlineMs'])
+        present = self.runs.get(task)
+        if present is not None and present.run == number:
+            return self._answer(200)
+        if number <= self.highest.get(task, 0):
+            return self._answer(409, reason='old')
+        work_s = 3600 if self.faults.stalls else self.work_s(task)
+        if self.faults.fails:
+            work_s = 0.001
+        run = StandinRun(task, number, _now(), work_s)
+        self.runs[task] = run
+        self.highest[task] = number
+        self.history.append(run)
+        asyncio.get_running_loop().call_later(work_s, self.advance)
+        return self._answer(200)
+
+    async def _stop(self, fields: dict[str, Any]) -> web.Response:
+        self.advance()
+        task, number = fields['task'], fields['run']
+        self.highest[task] = max(self.highest.get(task, 0), number)
+        run = self.runs.get(task)
+        if run is not None and run.run == number:
+            run.stopping = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(STOP_S, self._end, run, 'stopped')
+        return self._answer(200)
+
+    async def _hold(self, fields: dict[str, Any]) -> web.Response:
+        self.advance()
+        if 'deadlineMs' in fields:
+            self._extend(fields['deadlineMs'])
+        acknowledged = fields['ackedThrough']
+        self.ends = [end for end in self.ends if end[0] > acknowledged]
+        if not self.ends:
+            await self._wait_for_end(fields.get('waitMs', 0) / 1000)
+        now = _now()
+        return self._answer(
+            200,
+            running=[
+                [run.task, run.run, '', self._percent(run, now), 100]
+                for run in self.runs.values()
+            ],
+            endedRuns=[
+                [number, run.task, run.run, run.how, '']
+                for number, run in self.ends[:MAX_ENDS]
+            ],
+        )
+
+    async def _wait_for_end(self, wait_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                while not self.ends:
+                    self.changed.clear()
+                    # The lease may pass while the call waits.
+                    loop.call_later(LEASE_CHECK_S, self.changed.set)
+                    await self.changed.wait()
+                    self.advance()
+
+    def _percent(self, run: StandinRun, now: float) -> float:
+        if run.work_s >= 3600:
+            return 7
+        return round(100 * (now - run.begun) / run.work_s, 1)
+
+    def _extend(self, deadline_ms: float) -> None:
+        most = self.clock_ms() + HOLD_MAX_MS
+        self.lease_ms = max(self.lease_ms, min(deadline_ms, most))
+
+    def _end(self, run: StandinRun, how: str) -> None:
+        if self.runs.get(run.task) is not run:
+            return
+        self.runs.pop(run.task)
+        run.ended = _now()
+        run.how = how
+        self.end_count += 1
+        self.ends.append((self.end_count, run))
+        self.changed.set()
+
+    def _answer(self, status: int, **fields: Any) -> web.Response:
+        body = {'clockMs': self.clock_ms(), 'born': self.born_ms, **fields}
+        return web.json_response(body, status=status)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
