Log each order and answer; serve metrics and status on the platform

Cause: a failed request could be followed at its worker, but not to the front's reasons for where its tasks went, or what it waited for.

Change: one line for each order (worker, free room, age of the report, slack) and each answer (outcome, time, time to the first order, runs, workers), with the request id. Metrics, readiness and status on port 9464, loaded after clients are served. Two submissions that wait for an earlier one of the same id no longer begin it twice.

--- a/src/limpetlanding/platform/ingress.py
+++ b/src/limpetlanding/platform/ingress.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from limpetlanding.platform.decode import Malformed, Unsupported, decode_job
-from limpetlanding.runs import Front, GivenUp, JobState, NotRun, Queue
+from limpetlanding.runs import Front, GivenUp, NotRun, Queue
 
 DEFAULT_WAIT_S = 30
 """Wait for clients that do not say how long they wait."""
@@ -88,23 +88,15 @@
             'refused: {}', error.detail
         )
         return _refuse(error.detail)
-    log = logger.bind(
-        request_id=job_id,
-        queue=queue.name,
-        version=catalog.version,
-        wait_ms=round(wait_s * 1000),
-    )
     try:
         state = await front.dispatcher.submit(
             job, queue, wait_s, catalog.version
         )
     except NotRun as error:
-        log.info('not run: {}', error.detail)
         return _refuse(error.detail)
     except GivenUp as error:
-        log.info('given up: {}', error.detail)
         return _answer(504, error=error.detail)
-    return _answer(200, state=_state_name(state))
+    return _answer(200, state=state.value)
 
 
 def _wait_s(request: web.Request) -> float:
@@ -117,10 +109,6 @@
         raise Malformed(f'{_DEADLINE}: {value!r}', step='submit') from error
 
 
-def _state_name(state: JobState) -> str:
-    return state.value
-
-
 def _refuse(detail: str) -> web.Response:
     response = _answer(503, error=detail)
     response.headers['Retry-After'] = str(RETRY_AFTER_S)
--- a/src/limpetlanding/platform/roles.py
+++ b/src/limpetlanding/platform/roles.py
@@ -5,14 +5,15 @@
 import sys
 from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
 from contextlib import (
-    AsyncExitStack,
     asynccontextmanager,
     contextmanager,
     suppress,
 )
+from importlib import import_module
 from pathlib import Path
 from random import SystemRandom
-from typing import Any
+from types import ModuleType
+from typing import Any, TypeVar
 
 from aiohttp import web
 from loguru import logger
@@ -40,6 +41,8 @@
     Timing,
 )
 
+Client = TypeVar('Client', LogStore, ExecutorClient)
+
 LINKS = Timing(
     heartbeat_s=0.15,
     digest_s=2,
@@ -59,67 +62,83 @@
 BALANCER_S = 2.5
 """The load balancer takes a front out after two missed checks, one a second."""
 
+METRICS_PORT = 9464
+"""Port of metrics and status, as `deploy/system.toml` tells the platform."""
+
 EXIT_MARGIN_S = 0.7
 """Time kept at the end of the grace period for stopping runs."""
 
 
 async def run_front() -> None:
     """Serve clients until SIGTERM, then finish what has begun."""
-    settings = _begin('front')
-    async with AsyncExitStack() as stack:
-        node = await stack.enter_async_context(_linked('front', settings))
-        store = LogStore(settings.store_address)
-        stack.push_async_callback(store.close)
+    settings, output = _begin('front')
+    stop = asyncio.Event()
+    async with (
+        _linked('front', settings) as node,
+        _closing(LogStore(settings.store_address)) as store,
+    ):
         front = Front(node, store, settings.seeds, SystemRandom())
         await node.start()
-        await stack.enter_async_context(_running(front.run()))
-        for app, address in (
-            (readiness_app(front), settings.readiness_address),
-            (client_app(front), settings.client_address),
+        async with (
+            _running(front.run()),
+            _served(readiness_app(front), settings.readiness_address),
+            _served(client_app(front), settings.client_address),
+            _running(_follow_settings(lambda x: front.use_seeds(x.seeds))),
+            _metrics_served(
+                settings,
+                front.missing,
+                lambda: _metrics().front_status(front),
+                stop.set,
+                lambda: _metrics().front_metrics(front, output),
+            ),
         ):
-            await stack.enter_async_context(_served(app, address))
-        await stack.enter_async_context(
-            _running(_follow_settings(lambda x: front.use_seeds(x.seeds)))
-        )
-        await _terminated()
-        front.stopping = True
-        await _finish_jobs(front, settings.grace_s - EXIT_MARGIN_S)
+            await _terminated(stop)
+            front.stopping = True
+            await _finish_jobs(front, settings.grace_s - EXIT_MARGIN_S)
     logger.bind(step='stop').info('stopped')
 
 
 async def run_worker() -> None:
     """Serve the executor beside this process until SIGTERM."""
-    settings = _begin('worker')
-    async with AsyncExitStack() as stack:
-        node = await stack.enter_async_context(_linked('worker', settings))
-        store = LogStore(settings.store_address)
-        stack.push_async_callback(store.close)
-        port = ExecutorClient(settings.executor_address)
+    settings, output = _begin('worker')
+    stop = asyncio.Event()
+    async with (
+        _linked('worker', settings) as node,
+        _closing(LogStore(settings.store_address)) as store,
+        _closing(ExecutorClient(settings.executor_address)) as port,
+    ):
         worker = Worker(node, port)
         registration = Registration(
             worker, store, port, settings.pool, SystemRandom()
         )
-        stack.push_async_callback(worker.keeper.close)
-        await node.start()
-        await stack.enter_async_context(
-            _served(control_app(worker), settings.control_address)
-        )
         dial = _dial_seeds(node)
         dial(settings)
-        await stack.enter_async_context(_running(worker.run()))
-        await stack.enter_async_context(_running(registration.run()))
-        await stack.enter_async_context(_running(_follow_settings(dial)))
-        await _terminated()
-        await worker.drain(settings.grace_s - EXIT_MARGIN_S)
+        await node.start()
+        async with (
+            _served(control_app(worker), settings.control_address),
+            _running(worker.run()),
+            _running(registration.run()),
+            _running(_follow_settings(dial)),
+            _metrics_served(
+                settings,
+                lambda: '' if worker.keeper.in_touch else 'no executor',
+                lambda: _metrics().worker_status(worker),
+                stop.set,
+                lambda: _metrics().worker_metrics(worker, output),
+            ),
+        ):
+            await _terminated(stop)
+            await worker.drain(settings.grace_s - EXIT_MARGIN_S)
+        await worker.keeper.close()
     logger.bind(step='stop').info('stopped')
 
 
-def _begin(role: str) -> ProcessSettings:
+def _begin(role: str) -> tuple[ProcessSettings, BoundedOutput]:
     settings = read_settings(settings_path())
     output = BoundedOutput(sys.stdout.fileno())
     start_logs('INFO', role, settings.node, output.write)
     logger.bind(step='start', address=settings.address).info('started')
-    return settings
+    return settings, output
 
 
 @asynccontextmanager
@@ -145,6 +164,14 @@
     """Stand in until the role has set its handler."""
 
 
+@asynccontextmanager
+async def _closing(client: Client) -> AsyncIterator[Client]:
+    try:
+        yield client
+    finally:
+        await client.close()
+
+
 @asynccontextmanager
 async def _served(app: web.Application, address: str) -> AsyncIterator[None]:
     host, _, port = address.rpartition(':')
@@ -162,6 +189,31 @@
         await runner.cleanup()
 
 
+def _metrics() -> ModuleType:
+    """Return the module of metrics, which takes 0.1 s to load.
+
+    It is loaded after clients are served.
+    """
+    return import_module('limpetlanding.runs.metrics')
+
+
+@asynccontextmanager
+async def _metrics_served(
+    settings: ProcessSettings,
+    missing: Callable[[], str],
+    status: Callable[[], dict[str, Any]],
+    stop: Callable[[], None],
+    create: Callable[[], Any],
+) -> AsyncIterator[None]:
+    from limpetlanding.telemetry.service import add_service_routes
+
+    host = settings.address.rpartition(':')[0]
+    app = web.Application()
+    add_service_routes(app, missing, status, stop, create())
+    async with _served(app, f'{host}:{METRICS_PORT}'):
+        yield
+
+
 @asynccontextmanager
 async def _running(work: Coroutine[Any, Any, None]) -> AsyncIterator[None]:
     task = asyncio.create_task(work)
@@ -180,8 +232,7 @@
         )
 
 
-async def _terminated() -> None:
-    stop = asyncio.Event()
+async def _terminated(stop: asyncio.Event) -> None:
     with (
         _on_signal(signal.SIGTERM, stop.set),
         _on_signal(signal.SIGINT, stop.set),
--- a/src/limpetlanding/platform/tests/rig.py
+++ b/src/limpetlanding/platform/tests/rig.py
@@ -169,6 +169,7 @@
         node = new_node('worker', f'w{number}', number, life)
         port = ExecutorClient(f'127.0.0.1:{EXECUTOR_PORT + number}')
         worker = Worker(node, port)
+        stack.push_async_callback(port.close)
         stack.push_async_callback(worker.keeper.close)
         stack.push_async_callback(node.stop, False)
         await node.start()
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import Counter, defaultdict
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from functools import partial
 from math import inf
@@ -83,6 +83,8 @@
         self.lost_at: dict[Channel, float] = {}
         self.tasks: set[asyncio.Task[Any]] = set()
         self.counts: Counter[str] = Counter()
+        # Called with the time to the answer and to the first order, if any.
+        self.on_answer: Callable[[float, float | None], None] = _ignore
 
     async def run(self) -> None:
         """Place waiting tasks whenever something has changed."""
@@ -114,20 +116,25 @@
         GivenUp
             If the job was not finished in time.
         """
+        if job.job_id not in self.jobs:
+            await self._wait_for_earlier(job.job_id)
         active = self.jobs.get(job.job_id)
         if active is None:
-            await self._wait_for_earlier(job.job_id)
             active = self._begin(job, queue, wait_s, version)
         active.watchers += 1
+        answer = 'client gone'
         try:
             async with asyncio.timeout(wait_s):
-                return await asyncio.shield(active.outcome)
+                state = await asyncio.shield(active.outcome)
+            answer = state.value
+            return state
         except TimeoutError:
+            answer = 'given up' if active.ever_ordered else 'not run'
             raise self._time_out(active) from None
         finally:
             active.watchers -= 1
             if not active.watchers:
-                self._end(active, 'client gone')
+                self._end(active, answer)
 
     def cancel(self, job_id: str) -> None:
         """Cancel a running job; its waiting clients are told that it failed."""
@@ -223,6 +230,7 @@
             return
         active.ended = True
         active.vacated.clear()
+        self._note_answer(active, why)
         job_id = active.job.job_id
         self.jobs.pop(job_id, None)
         self.recent[job_id] = active
@@ -238,6 +246,27 @@
         for view, keys in by_view.items():
             self._spawn(self._stop(view, keys, why))
 
+    def _note_answer(self, active: ActiveJob, answer: str) -> None:
+        now = self.loop.time()
+        self.counts[f'jobs_{answer.replace(" ", "_")}'] += 1
+        wait_s = None
+        if active.ever_ordered:
+            wait_s = active.first_ordered - active.arrived
+        self.on_answer(now - active.arrived, wait_s)
+        logger.bind(
+            request_id=active.job.job_id,
+            step='answer',
+            queue=active.queue.name,
+            version=active.catalog_version,
+            elapsed_ms=round(1000 * (now - active.arrived)),
+            due_ms=round(1000 * (active.due - active.arrived)),
+            ordered_after_ms=None if wait_s is None else round(1000 * wait_s),
+            waiting=len(active.waiting),
+            running=len(active.placed),
+            runs=sum(active.runs.values()),
+            workers=sorted(active.workers),
+        ).info('job answered: {}', answer)
+
     def _forget(self, active: ActiveJob) -> None:
         if self.recent.get(active.job.job_id) is active:
             self.recent.pop(active.job.job_id)
@@ -305,6 +334,16 @@
             [_order_of(task) for task in tasks],
         )
         self.counts['orders'] += 1
+        logger.bind(
+            request_id=active.job.job_id,
+            step='order',
+            peer=view.name,
+            tasks=len(tasks),
+            free_cpu=view.free.cpu,
+            run_ratio=round(view.report.run_ratio, 2),
+            report_age_ms=round((self.loop.time() - view.reported_at) * 1000),
+            slack_ms=round((active.due - self.loop.time()) * 1000),
+        ).info('runs ordered')
         try:
             reply = await view.channel.request(message, ORDER_TIMEOUT_S)
         except PeerLost as error:
@@ -444,6 +483,10 @@
         task.add_done_callback(partial(_ended, self.tasks))
 
 
+def _ignore(_elapsed_s: float, _wait_s: float | None) -> None:
+    """Stand in until metrics are served."""
+
+
 def _order_of(task: ActiveTask) -> RunOrder:
     need: Room = task.step.need
     return RunOrder(
--- a/src/limpetlanding/runs/keeper.py
+++ b/src/limpetlanding/runs/keeper.py
@@ -245,7 +245,6 @@
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        await self.port.close()
 
     def _begin_life(self, executor: Executor) -> None:
         self.executor = executor
--- /dev/null
+++ b/src/limpetlanding/runs/metrics.py
@@ -0,0 +1,177 @@
+"""Metrics and status of fronts and workers, read when they are asked for."""
+
+from typing import Any
+
+from limpetlanding.runs.front import Front
+from limpetlanding.runs.worker import Worker
+from limpetlanding.telemetry import Metrics
+from limpetlanding.telemetry.output import BoundedOutput
+from limpetlanding.wire.metrics import export_counters
+
+
+def front_metrics(front: Front, output: BoundedOutput) -> Metrics:
+    """Return the metrics of a front.
+
+    Parameters
+    ----------
+    front : Front
+        The front.
+    output : BoundedOutput
+        Its log.
+    """
+    metrics = _common_metrics(front.node.counters, output)
+    dispatcher = front.dispatcher
+    metrics.gauges(
+        {
+            'ready_count': (
+                '1 if ready, else 0.',
+                lambda: int(not front.missing()),
+            ),
+            'config_version_count': (
+                'Version of the configuration in force.',
+                lambda: front.catalogs.version,
+            ),
+            'front_jobs_count': (
+                'Jobs in progress.',
+                lambda: len(dispatcher.jobs),
+            ),
+            'front_tasks_waiting_count': (
+                'Tasks that wait for room.',
+                lambda: sum(len(x.waiting) for x in dispatcher.jobs.values()),
+            ),
+            'front_workers_count': (
+                'Workers known.',
+                lambda: len(front.fleet.views),
+            ),
+            'front_workers_usable_count': (
+                'Workers that take runs.',
+                lambda: sum(x.is_usable() for x in front.fleet.views.values()),
+            ),
+        }
+    )
+    metrics.copy_counts(
+        metrics.counter('front_events_total', 'Answers and orders by name.'),
+        'event',
+        lambda: iter(dispatcher.counts.items()),
+    )
+    answered = metrics.histogram(
+        'front_answer_seconds', 'Time from a submission to its answer.'
+    )
+    ordered = metrics.histogram(
+        'front_order_seconds', 'Time from a submission to its first order.'
+    )
+
+    def observe(elapsed_s: float, wait_s: float | None) -> None:
+        answered.observe({}, elapsed_s)
+        if wait_s is not None:
+            ordered.observe({}, wait_s)
+
+    dispatcher.on_answer = observe
+    return metrics
+
+
+def worker_metrics(worker: Worker, output: BoundedOutput) -> Metrics:
+    """Return the metrics of a worker.
+
+    Parameters
+    ----------
+    worker : Worker
+        The worker.
+    output : BoundedOutput
+        Its log.
+    """
+    metrics = _common_metrics(worker.node.counters, output)
+    keeper = worker.keeper
+    metrics.gauges(
+        {
+            'ready_count': (
+                '1 if the executor answers, else 0.',
+                lambda: int(keeper.in_touch),
+            ),
+            'config_version_count': (
+                'Version of the configuration known.',
+                lambda: worker.catalogs.version,
+            ),
+            'worker_runs_count': (
+                'Runs that occupy room.',
+                lambda: len(keeper.runs),
+            ),
+            'worker_free_ratio': (
+                'Free part of the processors.',
+                lambda: keeper.free.cpu / max(keeper.capacity.cpu, 1),
+            ),
+            'worker_run_ratio': (
+                'Run time of recent tasks over their estimates.',
+                lambda: keeper.run_ratio,
+            ),
+        }
+    )
+    metrics.copy_counts(
+        metrics.counter('worker_runs_total', 'Ended runs by how they ended.'),
+        'how',
+        lambda: iter(worker.counts.items()),
+    )
+    worker.on_run = metrics.histogram(
+        'worker_run_seconds', 'Time from the start of a run to its end.'
+    ).observe
+    return metrics
+
+
+def front_status(front: Front) -> dict[str, Any]:
+    """Return what ``GET /statusz`` of a front shows."""
+    return {
+        'role': 'front',
+        'node': front.node.hello.node,
+        'missing': front.missing(),
+        'config_version': front.catalogs.version,
+        'jobs': len(front.dispatcher.jobs),
+        'events': dict(front.dispatcher.counts),
+        'workers': [
+            {
+                'node': view.name,
+                'executor': view.report.executor,
+                'usable': view.is_usable(),
+                'health': view.report.health,
+                'free_cpu': view.free.cpu,
+                'cpu': view.report.cpu,
+                'run_ratio': round(view.report.run_ratio, 2),
+                'report_age_s': round(front.loop.time() - view.reported_at, 2),
+                'own_runs': len(view.runs),
+            }
+            for view in front.fleet.views.values()
+        ],
+    }
+
+
+def worker_status(worker: Worker) -> dict[str, Any]:
+    """Return what ``GET /statusz`` of a worker shows."""
+    keeper = worker.keeper
+    return {
+        'role': 'worker',
+        'node': worker.node.hello.node,
+        'executor': keeper.executor.life if keeper.executor else '',
+        'refusal': keeper.refusal(keeper.free),
+        'health': keeper.health_state(),
+        'config_version': worker.catalogs.version,
+        'runs': [
+            {
+                'task': held.task,
+                'run': held.run,
+                'front': held.owner,
+                'percent': held.percent,
+                'stopping': held.stop_sent,
+            }
+            for held in keeper.runs.values()
+        ],
+        'ended': dict(worker.counts),
+    }
+
+
+def _common_metrics(counters: Any, output: BoundedOutput) -> Metrics:
+    metrics = Metrics()
+    export_counters(counters, metrics)
+    dropped = metrics.counter(
+        'log_lines_dropped_total', 'Log lines beyond the bounded volume.'
+    )
+    metrics.before_render(lambda: dropped.set({}, output.dropped_total))
+    return metrics
--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -1,7 +1,7 @@
 """Worker: serves fronts on behalf of the executor beside it."""
 
 import asyncio
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
@@ -69,6 +69,9 @@
         self.recent: dict[tuple[str, str], None] = {}
         self.report_due = False
         self.on_announce: Callable[[], None] = _ignore
+        self.counts: Counter[str] = Counter()
+        # Called with labels and the run time in seconds of each ended run.
+        self.on_run: Callable[[dict[str, str], float], None] = _ignore_run
         self.tasks: set[asyncio.Task[Any]] = set()
         node.handler = self.handle
         node.on_peer_up = self._peer_up
@@ -244,6 +247,8 @@
     def _ended(self, result: RunResult) -> None:
         held = result.held
         self.recent[(held.owner, run_key(held.task, held.run))] = None
+        self.counts[result.how.value] += 1
+        self.on_run({}, result.run_ms / 1000)
         while len(self.recent) > MAX_RECENT:
             self.recent.pop(next(iter(self.recent)))
         logger.bind(
@@ -312,6 +317,10 @@
     """Stand in until someone wants to know of announcements."""
 
 
+def _ignore_run(_labels: dict[str, str], _run_s: float) -> None:
+    """Stand in until metrics are served."""
+
+
 def _need(order: RunOrder) -> Room:
     return Room(order.cpu, order.memory_mb, order.gpu)
 
