Fence orders of former lives; pause after a refusal; random faults test

Cause: a start that a killed worker had sent could be carried out under its successor while its lease lasted, beyond the room that the successor counts. A worker that refused one task although it had room was asked again at once, as fast as the network allowed. A start without an answer did not keep further starts from a silent executor. A request whose front died left no line at all.

Change: calls carry the time of the worker's start as fencing token, raised if the executor has seen a higher one; a refused task waits 50 ms before the same worker is asked; an unanswered start stops others until an inventory is answered; a job's arrival is logged.

--- a/src/limpetlanding/cli/operator.py
+++ b/src/limpetlanding/cli/operator.py
@@ -18,6 +18,13 @@
 TIMEOUT_S = 5
 # A file without line ends is not read into memory as one line.
 MAX_LINE_CHARS = 1_000_000
+# Fields of a log line that say what it is about, not what was decided on.
+_NO_INPUTS = frozenset(
+    (
+        *('time', 'level', 'message', 'logger', 'traceback'),
+        *('role', 'node', 'peer', 'step', 'request_id', 'job_id', 'id'),
+    )
+)
 
 
 def status(*, entries: str = DEFAULT_ENTRIES, json: bool = False) -> None:
@@ -89,7 +96,8 @@
         return
     for hop in found:
         where = ' -> '.join(filter(None, (hop['node'], hop['peer'])))
-        print(f'{hop["time"]} {where} [{hop["step"]}] {hop["text"]}')
+        text = ' '.join(filter(None, (hop['text'], hop['inputs'])))
+        print(f'{hop["time"]} {where} [{hop["step"]}] {text}')
 
 
 def hops(request_id: str, lines: Iterable[str]) -> Iterator[dict[str, str]]:
@@ -115,7 +123,8 @@
         if request_id not in line:
             continue
         try:
-            data = orjson.loads(line)
+            # Collectors of logs write the time and the host before the line.
+            data = orjson.loads(line[max(line.find('{'), 0) :])
         except ValueError:
             continue
         if isinstance(data, dict):
@@ -242,6 +251,11 @@
         'peer': str(extra.get('peer', '')),
         'step': str(extra.get('step', '')),
         'text': str(record.get('message', '')),
+        'inputs': ' '.join(
+            f'{key}={value}'
+            for key, value in extra.items()
+            if key not in _NO_INPUTS
+        ),
     }
     ids = {str(extra.get(key)) for key in ('request_id', 'job_id', 'id')}
     return hop, ids
--- a/src/limpetlanding/cli/tests/test_operator.py
+++ b/src/limpetlanding/cli/tests/test_operator.py
@@ -133,6 +133,18 @@
         assert 'admitted' in first
         assert 'forwarded' in second
 
+    def test_inputs_follow_the_text_and_prefixes_are_passed_over(
+        self, tmp_path, capsys
+    ):
+        path = tmp_path / 'front.log'
+        path.write_text(
+            '36.5 front-1 {"time": "t", "node": "front-1", "step": "order", '
+            '"request_id": "r1", "message": "runs ordered", "free_cpu": 900}'
+        )
+        explain('r1', str(path))
+        line = capsys.readouterr().out.strip()
+        assert line.endswith('[order] runs ordered free_cpu=900')
+
 
 def nested(time, request_id, step, text):
     extra = {'request_id': request_id, 'step': step, 'peer': 'agent-01'}
--- a/src/limpetlanding/platform/executor.py
+++ b/src/limpetlanding/platform/executor.py
@@ -11,8 +11,10 @@
     load_object,
 )
 from limpetlanding.runs.ports import (
+    Addressee,
     ExecutorReplaced,
     ExecutorSilent,
+    FenceRejected,
     Inventory,
     StartOrder,
     StartReply,
@@ -27,6 +29,7 @@
 _EXPECTED = 'X-Expect-Instance'
 _PRESENT = 'X-Instance-Id'
 _OK = 200
+_CONFLICT = 409
 _MISDIRECTED = 421
 _UNHEALTHY = frozenset((429, 503))
 _REFUSALS = {'late': 'expired', 'old': 'outdated', 'room': 'full'}
@@ -50,7 +53,7 @@
             timeout=aiohttp.ClientTimeout(total=None),
         )
 
-    async def start(self, executor_id: str, order: StartOrder) -> StartReply:
+    async def start(self, to: Addressee, order: StartOrder) -> StartReply:
         """Start a run; see `ExecutorPort`."""
         body = {
             'task': order.task,
@@ -60,7 +63,7 @@
         }
         if order.checkpoint:
             body['checkpoint'] = order.checkpoint
-        status, content = await self._call('run-start', executor_id, body)
+        status, content = await self._call('run-start', to, body)
         if status in _UNHEALTHY:
             return StartReply(None, 'unhealthy')
         fields = _load(content, self.address) if content else {}
@@ -70,11 +73,9 @@
         reason = _REFUSALS.get(str(fields.get('reason')), 'invalid')
         return StartReply(clock_ms, reason)
 
-    async def stop(self, executor_id: str, task: str, run: int) -> None:
+    async def stop(self, to: Addressee, task: str, run: int) -> None:
         """Stop a run; see `ExecutorPort`."""
-        status, _ = await self._call(
-            'run-stop', executor_id, {'task': task, 'run': run}
-        )
+        status, _ = await self._call('run-stop', to, {'task': task, 'run': run})
         if status != _OK:
             raise ExecutorSilent(
                 f'status {status}', step='stop', peer=self.address
@@ -82,7 +83,7 @@
 
     async def inventory(
         self,
-        executor_id: str,
+        to: Addressee,
         acknowledged: int,
         lease_until_ms: int | None,
         wait_ms: int,
@@ -93,7 +94,7 @@
             body['deadlineMs'] = lease_until_ms
         if wait_ms:
             body['waitMs'] = wait_ms
-        status, content = await self._call('hold', executor_id, body)
+        status, content = await self._call('hold', to, body)
         if status != _OK:
             raise ExecutorSilent(
                 f'status {status}', step='look', peer=self.address
@@ -130,16 +131,16 @@
         await self.session.close()
 
     async def _call(
-        self, name: str, executor_id: str, body: dict[str, Any]
+        self, name: str, to: Addressee, body: dict[str, Any]
     ) -> tuple[int, bytes]:
         headers = {
-            _EXPECTED: executor_id,
+            _EXPECTED: to.executor_id,
             'Content-Type': 'application/json',
         }
         try:
             async with self.session.post(
                 f'http://{self.address}/api/{name}',
-                data=orjson.dumps(body),
+                data=orjson.dumps(body | {'fencingToken': to.fence}),
                 headers=headers,
             ) as response:
                 content = await response.read()
@@ -153,9 +154,18 @@
                 step=name,
                 peer=self.address,
             )
+        if response.status == _CONFLICT:
+            _raise_if_fenced(content, name, self.address)
         return response.status, content
 
 
+def _raise_if_fenced(content: bytes, name: str, address: str) -> None:
+    if _load(content, address).get('reason') == 'fence':
+        raise FenceRejected(
+            'the executor has seen a higher token', step=name, peer=address
+        )
+
+
 def _load(content: bytes, address: str) -> dict[str, Any]:
     try:
         return load_object(content, 'start')
--- a/src/limpetlanding/platform/tests/test_jobs.py
+++ b/src/limpetlanding/platform/tests/test_jobs.py
@@ -256,6 +256,23 @@
             assert (await system.call('DELETE', f'/quote/{JOB}'))[0] == 200
             assert (await job)[1] == {'state': 'failed'}
 
+    async def test_refusal_that_concerns_one_task_is_not_repeated_at_once(self):
+        async with System(worker_count=1).run() as system:
+            system.executors[0].work_s = lambda task: 0.5
+            worker = system.workers[0]
+            refusals = []
+
+            def refuse(message, order):
+                refusals.append(order.task)
+                return '' if len(refusals) > 3 else 'another run is here'
+
+            worker._refusal = refuse
+            begun = asyncio.get_running_loop().time()
+            assert (await system.submit(JOB, body(1), 9000))[0] == 200
+            waited = asyncio.get_running_loop().time() - begun - 0.5
+            assert len(refusals) == 4
+            assert waited > 0.14
+
 
 class TestLostProcesses:
     """Guards against overlaps after a front or a worker has gone."""
--- /dev/null
+++ b/src/limpetlanding/platform/tests/test_random_faults.py
@@ -0,0 +1,161 @@
+"""Random faults over many jobs; the promises are checked on the executors.
+
+Guards against two runs of a task at once, starts beyond an executor's room,
+starts of jobs that were refused, and runs that go on without a client.
+"""
+
+import asyncio
+import os
+from random import Random
+
+import pytest
+
+from limpetlanding.platform.tests.rig import (
+    System,
+    body,
+    config,
+    most_cpu,
+    overlaps,
+)
+
+JOBS = 60
+WORKERS = 3
+RESEND_S = 1.3
+STEP_S = 0.25
+CPU = 6000
+SEEDS = range(int(os.environ.get('RANDOM_SEEDS', '8')))
+
+
+class Player:
+    """Clients and faults of one random run.
+
+    Parameters
+    ----------
+    system : System
+        The system.
+    rng : random.Random
+        Source of all choices.
+    """
+
+    def __init__(self, system, rng):
+        self.system = system
+        self.rng = rng
+        self.refused = set()
+        self.answers = {}
+        self.lives = dict.fromkeys(('w0', 'w1', 'w2', 'f0', 'f1'), 1)
+
+    async def client(self, number):
+        """Submit a job, and send it again if its connection breaks."""
+        rng = self.rng
+        await asyncio.sleep(rng.uniform(0, 12))
+        job_id = f'{number:016x}'
+        content = body(rng.randint(1, 5), cpu=CPU, estimateMs=400)
+        end = asyncio.get_running_loop().time() + 8
+        tries = []
+        while (left := end - asyncio.get_running_loop().time()) > 0.1:
+            front = rng.randrange(2)
+            try:
+                status, _ = await self.system.submit(
+                    job_id, content, int(left * 1000), front
+                )
+            except OSError:
+                status = None
+            tries.append(status)
+            if status not in {None, 502, 504}:
+                break
+            await asyncio.sleep(RESEND_S)
+        self.answers[job_id] = tries
+        if all(status in {429, 503} for status in tries):
+            self.refused.add(job_id)
+
+    async def trouble(self):
+        """Switch random faults on and off."""
+        acts = (
+            self.silent,
+            self.late_orders,
+            self.failing,
+            self.stalling,
+            self.restart_executor,
+            self.restart_process,
+            self.store_out,
+            self.new_config,
+        )
+        for _ in range(10):
+            await asyncio.sleep(self.rng.uniform(0, 1.5))
+            await self.rng.choice(acts)()
+
+    async def silent(self):
+        executor = self.rng.choice(self.system.executors)
+        executor.faults.silent = True
+        await asyncio.sleep(self.rng.uniform(0.1, 3))
+        executor.faults.silent = False
+
+    async def late_orders(self):
+        executor = self.rng.choice(self.system.executors)
+        executor.faults.late_orders_s = self.rng.uniform(0.3, 6)
+        await asyncio.sleep(self.rng.uniform(0.1, 3))
+        executor.faults.late_orders_s = None
+
+    async def failing(self):
+        executor = self.rng.choice(self.system.executors)
+        executor.faults.fails = True
+        await asyncio.sleep(self.rng.uniform(0.1, 3))
+        executor.faults.fails = False
+
+    async def stalling(self):
+        executor = self.rng.choice(self.system.executors)
+        executor.faults.stalls = True
+        await asyncio.sleep(self.rng.uniform(0.1, 3))
+        executor.faults.stalls = False
+
+    async def restart_executor(self):
+        number = self.rng.randrange(WORKERS)
+        executor = self.system.executors[number]
+        executor.restart(f'i-{number}-{executor.born_ms}')
+
+    async def restart_process(self):
+        name = self.rng.choice(list(self.lives))
+        await self.system.kill(name)
+        await asyncio.sleep(self.rng.uniform(0.1, 2))
+        self.lives[name] += 1
+        number = int(name[1])
+        if name[0] == 'w':
+            await self.system.start_worker(number, self.lives[name])
+        else:
+            await self.system.start_front(number, self.lives[name])
+
+    async def store_out(self):
+        self.system.store.faults.status = self.rng.choice((503, 429))
+        await asyncio.sleep(self.rng.uniform(0.1, 3))
+        self.system.store.faults.status = 0
+
+    async def new_config(self):
+        version = int(asyncio.get_running_loop().time() * 1000) + 10
+        self.system.store.put('keyed.op', 'config', config(version))
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+async def test_promises_hold(seed):
+    rng = Random(seed)
+    async with System(WORKERS, 2).run() as system:
+        for executor in system.executors:
+            executor.clock_rate = rng.uniform(0.98, 1)
+            executor.work_s = lambda task: Random(task).uniform(0.05, 1.5)
+        player = Player(system, rng)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(player.trouble())
+            for number in range(JOBS):
+                group.create_task(player.client(number))
+        await system.settle(3)
+        history = system.history()
+        assert not overlaps(history)
+        for executor in system.executors:
+            assert most_cpu(executor, CPU) <= executor.cpu
+            executor.advance()
+            assert not executor.runs
+        started = {run.task.partition('.')[0] for run in history}
+        assert not started & player.refused
+        completed = [
+            tries for tries in player.answers.values() if tries[-1] == 200
+        ]
+        assert len(completed) >= JOBS / 2
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -41,6 +41,10 @@
 ORDER_TIMEOUT_S = 0.5
 """A worker answers an order within a few ms; later it counts as silent."""
 
+REFUSAL_S = 0.05
+"""Pause before a worker is asked again that refuses a task although it has
+room; it is stopping an earlier run of the task, which takes 50 ms."""
+
 STOP_TIMEOUT_S = 5
 """A stop is repeated over new links for this long; after that the worker has
 stopped the runs by itself."""
@@ -210,6 +214,16 @@
         if earlier is not None:
             active.runs = earlier.runs
         self.jobs[job.job_id] = active
+        logger.bind(
+            request_id=job.job_id,
+            step='submit',
+            queue=queue.name,
+            version=version,
+            tasks=sum(step.count for step in job.steps),
+            due_ms=round(1000 * (active.due - now)),
+            wait_ms=round(1000 * wait_s),
+            jobs=len(self.jobs),
+        ).info('job accepted')
         active.release_steps()
         if active.is_done():
             active.outcome.set_result(JobState.COMPLETED)
@@ -301,7 +315,11 @@
                 for other in active.placed.values()
                 if other.step_index == task.step_index
             )
-            candidates = [view for view in usable if view.is_usable()]
+            candidates = [
+                view
+                for view in usable
+                if view.is_usable() and task.excluded.get(view.name, 0) <= now
+            ]
             view = self.fleet.choose(
                 task.step, candidates, task.avoid, on_worker, most_ratio
             )
@@ -380,6 +398,11 @@
             if task.name in taken:
                 continue
             self.counts['orders_refused'] += 1
+            if view.is_usable() and view.free.fits(task.step.need):
+                # The refusal concerns the task, and the report of the worker
+                # does not show it.
+                task.excluded[view.name] = self.loop.time() + REFUSAL_S
+                self.loop.call_later(REFUSAL_S, self.kick.set)
             self._unplace(view, keys[task.name])
 
     def _unplace(self, view: WorkerView, key: str) -> ActiveTask | None:
--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -60,7 +60,8 @@
 
     def use_seeds(self, seeds: list[str]) -> None:
         """Dial fronts at the given addresses."""
-        for address in set(seeds) - self.seeds - {self.node.hello.address}:
+        own = self.node.hello.address
+        for address in sorted(set(seeds) - self.seeds - {own}):
             self.seeds.add(address)
             self.node.keep_dialing(address)
 
@@ -122,7 +123,7 @@
         logger.bind(step='members', new=sorted(new)[:5]).info(
             'dials {} more workers', len(new)
         )
-        for address in new:
+        for address in sorted(new):
             self.node.keep_dialing(address)
 
     def _relay(self, _catalog: Catalog) -> None:
--- a/src/limpetlanding/runs/jobs.py
+++ b/src/limpetlanding/runs/jobs.py
@@ -37,6 +37,8 @@
     failures: int = 0
     suspect_failures: int = 0
     avoid: set[str] = field(default_factory=set)
+    # When workers may be asked again that refused this very task.
+    excluded: dict[str, float] = field(default_factory=dict)
     done: bool = False
 
 
--- a/src/limpetlanding/runs/keeper.py
+++ b/src/limpetlanding/runs/keeper.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from dataclasses import dataclass
@@ -18,10 +19,12 @@
 from limpetlanding.runs.lease import ExecutorClock
 from limpetlanding.runs.model import Room, RunEnd
 from limpetlanding.runs.ports import (
+    Addressee,
     Executor,
     ExecutorPort,
     ExecutorReplaced,
     ExecutorSilent,
+    FenceRejected,
     Inventory,
     StartOrder,
     StartReply,
@@ -40,6 +43,9 @@
 MAX_SILENT_LOOKS = 2
 """Inventories without answer after which the lease is left to run out."""
 
+FENCE_STEP = 5_000
+"""Added to a fencing token that is too low, as after a step of the clock."""
+
 IDLE_LOOK_S = 2
 """Interval of inventories while nothing runs."""
 
@@ -157,6 +163,11 @@
         self.last_lease_ms = 0
         self.in_touch = False
         self.silent_looks = 0
+        # An order got no answer, and nothing has been answered since.
+        self.unanswered = False
+        # Orders of a former life of this process may be under way; the token
+        # makes the executor reject them. The time of day rises over lives.
+        self.fence = int(time.time() * 1000)
         self.stopping = False
         self.wake = asyncio.Event()
         self.emptied = asyncio.Event()
@@ -181,7 +192,7 @@
 
     def refusal(self, need: Room) -> str:
         """Return why a run cannot be started now; empty if it can."""
-        if self.executor is None or not self.in_touch:
+        if self.executor is None or not self.in_touch or self.unanswered:
             return 'executor silent'
         if self.stopping or self.executor.draining:
             return 'leaving'
@@ -240,6 +251,10 @@
             self.stop(held)
         return len(owned)
 
+    def addressee(self) -> Addressee:
+        """Return the present executor with the token of this process."""
+        return Addressee(self.executor.executor_id, self.fence)
+
     async def close(self) -> None:
         """Stop calling the executor; what runs there lapses."""
         for task in list(self.tasks):
@@ -286,6 +301,12 @@
             )
         self.on_change()
 
+    def _raise_fence(self, error: FenceRejected) -> None:
+        self.fence += FENCE_STEP
+        logger.bind(step='look', fence=self.fence).info(
+            'fencing token raised: {}', error.detail
+        )
+
     def _is_current(self, life: int) -> bool:
         return self.executor is not None and self.life == life
 
@@ -321,11 +342,14 @@
         try:
             async with asyncio.timeout(wait_ms / 1000 + LOOK_TIMEOUT_S):
                 inventory = await self.port.inventory(
-                    executor.executor_id, acknowledged, lease, wait_ms
+                    self.addressee(), acknowledged, lease, wait_ms
                 )
         except (ExecutorSilent, TimeoutError) as error:
             await self._note_silence(life, error)
             return
+        except FenceRejected as error:
+            self._raise_fence(error)
+            return
         except ExecutorReplaced as error:
             if self._is_current(life):
                 self._end_life(str(error))
@@ -362,6 +386,9 @@
         now = self.loop.time()
         self.clock.note(inventory.clock_ms, now)
         self.silent_looks = 0
+        if self.unanswered:
+            self.unanswered = False
+            self.on_change()
         if not self.in_touch:
             self.in_touch = True
             self.on_change()
@@ -395,7 +422,7 @@
                 'unknown runs at the executor: {}', len(keys)
             )
             self.on_change()
-        for key in keys - self.foreign:
+        for key in sorted(keys - self.foreign):
             self._spawn(self._stop_unknown(*key))
         self.foreign = keys
 
@@ -443,11 +470,13 @@
         )
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
-                return await self.port.start(self.executor.executor_id, order)
-        except (ExecutorSilent, TimeoutError):
+                return await self.port.start(self.addressee(), order)
+        except (ExecutorSilent, FenceRejected, TimeoutError) as error:
+            self.unanswered = True
+            self.on_change()
             logger.bind(
                 request_id=held.job_id, task=held.task, run=held.run
-            ).info('start without answer; the run is stopped')
+            ).info('start without answer; the run is stopped: {!r}', error)
             # The order may be carried out later, so that the run has to be
             # barred before it can be started elsewhere.
             self.stop(held, RunEnd.REFUSED)
@@ -489,12 +518,11 @@
                 return
 
     async def _order_stop(self, task: str, run: int) -> bool:
-        executor = self.executor
         life = self.life
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
-                await self.port.stop(executor.executor_id, task, run)
-        except (ExecutorSilent, TimeoutError):
+                await self.port.stop(self.addressee(), task, run)
+        except (ExecutorSilent, FenceRejected, TimeoutError):
             await asyncio.sleep(PAUSE_S)
             return False
         except ExecutorReplaced as error:
--- a/src/limpetlanding/runs/ports.py
+++ b/src/limpetlanding/runs/ports.py
@@ -20,6 +20,10 @@
     """Another life of the executor is at the address."""
 
 
+class FenceRejected(LimpetlandingError):
+    """The executor has seen a higher fencing token; nothing was done."""
+
+
 class StoreUnavailable(LimpetlandingError):
     """The store did not answer or refused the call."""
 
@@ -186,18 +190,39 @@
     capacity: Room | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Addressee:
+    """Which life of an executor a call is meant for, and from whom it comes.
+
+    Parameters
+    ----------
+    executor_id : str
+        Id of the executor.
+    fence : int
+        Fencing token of the caller; the executor does nothing for a token
+        that is lower than one it has seen.
+    """
+
+    executor_id: str
+    fence: int
+
+
 class ExecutorPort(Protocol):
-    """Calls to one executor; all raise `ExecutorSilent`, `ExecutorReplaced`."""
+    """Calls to one executor.
+
+    All raise `ExecutorSilent`, `ExecutorReplaced` and, but for `identify`,
+    `FenceRejected`.
+    """
 
-    async def start(self, executor_id: str, order: StartOrder) -> StartReply:
+    async def start(self, to: Addressee, order: StartOrder) -> StartReply:
         """Start a run."""
 
-    async def stop(self, executor_id: str, task: str, run: int) -> None:
+    async def stop(self, to: Addressee, task: str, run: int) -> None:
         """Stop a run, and bar it if it has not begun."""
 
     async def inventory(
         self,
-        executor_id: str,
+        to: Addressee,
         acknowledged: int,
         lease_until_ms: int | None,
         wait_ms: int,
--- a/src/limpetlanding/runs/registration.py
+++ b/src/limpetlanding/runs/registration.py
@@ -12,10 +12,12 @@
 from limpetlanding.runs.backoff import FIRST_PAUSE_S, MAX_PAUSE_S
 from limpetlanding.runs.model import Room
 from limpetlanding.runs.ports import (
+    Addressee,
     Executor,
     ExecutorPort,
     ExecutorReplaced,
     ExecutorSilent,
+    FenceRejected,
     StorePort,
     StoreUnavailable,
     WorkerRecord,
@@ -92,7 +94,11 @@
             try:
                 async with asyncio.timeout(PROBE_S):
                     executor_id = await self.port.identify()
-                    seen = await self.port.inventory(executor_id, 0, None, 0)
+                    to = Addressee(executor_id, keeper.fence)
+                    seen = await self.port.inventory(to, 0, None, 0)
+            except FenceRejected:
+                # The keeper finds a higher token once it knows the executor.
+                return
             except (ExecutorSilent, ExecutorReplaced, TimeoutError):
                 await asyncio.sleep(PROBE_S)
                 continue
--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -229,7 +229,7 @@
             for held in self.keeper.runs.values()
             if held.owner == owner
         }
-        for key in here.keys() - {*message.runs, *message.ordered}:
+        for key in sorted(here.keys() - {*message.runs, *message.ordered}):
             self.keeper.stop(here[key])
         missing = [key for key in message.runs if key not in here]
         self._report_missing(channel, missing)
--- a/src/limpetlanding/standin/platform_executor.py
+++ b/src/limpetlanding/standin/platform_executor.py
@@ -96,6 +96,7 @@
     ends: list[tuple[int, StandinRun]] = field(default_factory=list)
     end_count: int = 0
     lease_ms: float = 0
+    fence: int = 0
     began: float = 0
     sequence: int = 0
     draining: bool = False
@@ -122,6 +123,7 @@
         self.ends = []
         self.end_count = 0
         self.lease_ms = 0
+        self.fence = 0
         self.sequence = 0
         self.executor_id = executor_id
         self.born_ms += 1_000
@@ -151,12 +153,14 @@
     def advance(self) -> None:
         """End the runs that are done or whose lease has passed."""
         now = _now()
-        is_lapsed = self.clock_ms() >= self.lease_ms
+        lapse = self.began + (self.lease_ms - 5_000) / 1000 / self.clock_rate
         for run in list(self.runs.values()):
-            if not run.stopping and now - run.begun >= run.work_s:
-                self._end(run, 'failed' if self.faults.fails else 'done')
-            elif is_lapsed:
-                self._end(run, 'lapsed')
+            done = run.begun + run.work_s
+            # Ends are noticed late, but take effect when they are due.
+            if not run.stopping and done <= min(now, lapse):
+                self._end(run, 'failed' if self.faults.fails else 'done', done)
+            elif lapse <= now:
+                self._end(run, 'lapsed', lapse)
 
     def _serve(self, act: Any, is_order: bool) -> Any:
         async def serve(request: web.Request) -> web.StreamResponse:
@@ -165,21 +169,33 @@
             if self.faults.silent:
                 await asyncio.sleep(3600)
             if is_order and self.faults.late_orders_s is not None:
-                await asyncio.shield(self._carry_out_late(act, fields))
+                late = self._carry_out_late(act, fields, expected)
+                await asyncio.shield(late)
                 await asyncio.sleep(3600)
-            if expected and expected != self.executor_id:
-                return web.Response(status=421)
-            return await act(fields)
+            return await self._checked(act, fields, expected)
 
         return serve
 
     async def _health(self, _request: web.Request) -> web.Response:
         return web.Response(headers={'X-Instance-Id': self.executor_id})
 
-    def _carry_out_late(self, act: Any, fields: dict[str, Any]) -> Any:
+    async def _checked(
+        self, act: Any, fields: dict[str, Any], expected: str | None
+    ) -> web.Response:
+        if expected and expected != self.executor_id:
+            return web.Response(status=421)
+        fence = fields.get('fencingToken', 0)
+        if fence < self.fence:
+            return self._answer(409, reason='fence')
+        self.fence = fence
+        return await act(fields)
+
+    def _carry_out_late(
+        self, act: Any, fields: dict[str, Any], expected: str | None
+    ) -> Any:
         async def carry_out() -> None:
             await asyncio.sleep(self.faults.late_orders_s or 0)
-            await act(fields)
+            await self._checked(act, fields, expected)
 
         return asyncio.ensure_future(carry_out())
 
@@ -245,8 +261,9 @@
                 while not self.ends:
                     self.changed.clear()
                     # The lease may pass while the call waits.
-                    loop.call_later(LEASE_CHECK_S, self.changed.set)
+                    timer = loop.call_later(LEASE_CHECK_S, self.changed.set)
                     await self.changed.wait()
+                    timer.cancel()
                     self.advance()
 
     def _percent(self, run: StandinRun, now: float) -> float:
@@ -258,11 +275,11 @@
         most = self.clock_ms() + HOLD_MAX_MS
         self.lease_ms = max(self.lease_ms, min(deadline_ms, most))
 
-    def _end(self, run: StandinRun, how: str) -> None:
+    def _end(self, run: StandinRun, how: str, at: float | None = None) -> None:
         if self.runs.get(run.task) is not run:
             return
         self.runs.pop(run.task)
-        run.ended = _now()
+        run.ended = _now() if at is None else at
         run.how = how
         self.end_count += 1
         self.ends.append((self.end_count, run))
