Wait for the ends of unknown runs instead of polling

Cause: while runs of a former life of the worker were being stopped, the worker asked for its inventory without any wait, as fast as the executor answered. Found by the random faults, which did not end in virtual time.

Change: such inventories wait for an end as others do.

--- a/src/limpetlanding/platform/tests/test_jobs.py
+++ b/src/limpetlanding/platform/tests/test_jobs.py
@@ -273,6 +273,20 @@
             assert len(refusals) == 4
             assert waited > 0.14
 
+    async def test_unknown_runs_are_not_polled_without_pause(self):
+        async with System(worker_count=1).run() as system:
+            executor = system.executors[0]
+            executor.work_s = lambda task: 5
+            job = asyncio.create_task(system.submit(JOB, body(2), 9000))
+            await asyncio.sleep(0.3)
+            await system.kill('w0')
+            before = executor.looks
+            await system.start_worker(0, life=2)
+            await asyncio.sleep(0.5)
+            assert executor.looks - before < 20
+            assert {run.how for run in executor.history[:2]} == {'stopped'}
+            job.cancel()
+
 
 class TestLostProcesses:
     """Guards against overlaps after a front or a worker has gone."""
--- a/src/limpetlanding/runs/keeper.py
+++ b/src/limpetlanding/runs/keeper.py
@@ -336,8 +336,10 @@
         sent = self.loop.time()
         acknowledged = self.acknowledged
         # Without runs there is nothing to hold, and an end that is waiting
-        # for its acknowledgement is not to be delayed.
-        wait_ms = LOOK_MS if self.runs and self.in_touch else 0
+        # for its acknowledgement is not to be delayed. Unknown runs get no
+        # lease; their ends are waited for.
+        is_waiting = self.in_touch and (self.runs or self.foreign)
+        wait_ms = LOOK_MS if is_waiting else 0
         lease = self._lease() if self.runs and self.in_touch else None
         try:
             async with asyncio.timeout(wait_ms / 1000 + LOOK_TIMEOUT_S):
--- a/src/limpetlanding/standin/platform_executor.py
+++ b/src/limpetlanding/standin/platform_executor.py
@@ -99,6 +99,7 @@
     fence: int = 0
     began: float = 0
     sequence: int = 0
+    looks: int = 0
     draining: bool = False
     history: list[StandinRun] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -234,6 +235,7 @@
         return self._answer(200)
 
     async def _hold(self, fields: dict[str, Any]) -> web.Response:
+        self.looks += 1
         self.advance()
         if 'deadlineMs' in fields:
             self._extend(fields['deadlineMs'])
