Share the background tasks of a process; remove dead code

Cause: keeper, dispatcher and roles each had their own way to keep a task and to log its failure, and the worker kept tasks without logging. The store client read the newest configuration in a method that nothing called, jobs carried a deadline that nothing read, and the usable workers of a pool were collected twice for each pass of the dispatcher.

Change: runs.background serves all of them; the rest is gone. Behaviour stays, but for failures of the worker's reports, which are logged now.

--- a/src/limpetlanding/platform/roles.py
+++ b/src/limpetlanding/platform/roles.py
@@ -30,6 +30,7 @@
 )
 from limpetlanding.platform.store import LogStore
 from limpetlanding.runs import Front, Worker
+from limpetlanding.runs.background import report_failure
 from limpetlanding.runs.registration import Registration
 from limpetlanding.telemetry.logs import start_logs
 from limpetlanding.telemetry.output import BoundedOutput
@@ -217,7 +218,7 @@
 @asynccontextmanager
 async def _running(work: Coroutine[Any, Any, None]) -> AsyncIterator[None]:
     task = asyncio.create_task(work)
-    task.add_done_callback(_report_failure)
+    task.add_done_callback(report_failure)
     try:
         yield
     finally:
@@ -225,13 +226,6 @@
         await asyncio.wait([task])
 
 
-def _report_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        logger.bind(step='run').opt(exception=task.exception()).error(
-            'background task failed'
-        )
-
-
 async def _terminated(stop: asyncio.Event) -> None:
     with (
         _on_signal(signal.SIGTERM, stop.set),
--- a/src/limpetlanding/platform/store.py
+++ b/src/limpetlanding/platform/store.py
@@ -53,11 +53,6 @@
             timeout=aiohttp.ClientTimeout(total=None)
         )
 
-    async def newest_catalog(self) -> Catalog | None:
-        """Return the newest configuration; see `StorePort`."""
-        newest, _ = await self._newest(CONFIG_TOPIC)
-        return _catalog(dict(newest).get(CONFIG_KEY))
-
     async def catalogs(self) -> AsyncIterator[Catalog]:
         """Yield configurations as they are published."""
         async for changes in self._changes(
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -8,16 +8,15 @@
 
 import asyncio
 from collections import Counter, defaultdict
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from contextlib import suppress
-from functools import partial
 from math import inf
-from typing import Any
 
 from loguru import logger
 
 from limpetlanding.errors import LimpetlandingError, PeerLost
-from limpetlanding.runs.fleet import Fleet, WorkerView
+from limpetlanding.runs.background import Background
+from limpetlanding.runs.fleet import Fleet, WorkerView, best_ratio
 from limpetlanding.runs.jobs import (
     MAX_SUSPECT_FAILURES,
     ActiveJob,
@@ -85,7 +84,7 @@
         self.recent: dict[str, ActiveJob] = {}
         self.kick = asyncio.Event()
         self.lost_at: dict[Channel, float] = {}
-        self.tasks: set[asyncio.Task[Any]] = set()
+        self.background = Background()
         self.counts: Counter[str] = Counter()
         # Called with the time to the answer and to the first order, if any.
         self.on_answer: Callable[[float, float | None], None] = _ignore
@@ -164,7 +163,7 @@
         self.lost_at.pop(channel, None)
         view = self.fleet.views.get(channel)
         if view is not None and view.runs:
-            self._spawn(self._compare(view))
+            self.background.spawn(self._compare(view))
 
     def worker_down(self, channel: Channel) -> None:
         """Give up the runs at a lost worker once they have surely ended."""
@@ -206,7 +205,6 @@
             job,
             queue,
             now,
-            now + wait_s,
             version,
             self.loop.create_future(),
         )
@@ -258,7 +256,7 @@
                 if task.job is active:
                     by_view[view].append(key)
         for view, keys in by_view.items():
-            self._spawn(self._stop(view, keys, why))
+            self.background.spawn(self._stop(view, keys, why))
 
     def _note_answer(self, active: ActiveJob, answer: str) -> None:
         now = self.loop.time()
@@ -290,7 +288,7 @@
         jobs = [active for active in self.jobs.values() if active.waiting]
         pools = {active.queue.pool for active in jobs}
         usable = {pool: self.fleet.usable(pool) for pool in pools}
-        best = {pool: self.fleet.best_ratio(pool) for pool in pools}
+        best = {pool: best_ratio(usable[pool]) for pool in pools}
         ranked = sorted(
             (_urgency(now, active, best[active.queue.pool]), number)
             for number, active in enumerate(jobs)
@@ -339,7 +337,7 @@
             active.ever_ordered = True
             active.first_ordered = now
         for view, tasks in orders.items():
-            self._spawn(self._order(active, view, tasks))
+            self.background.spawn(self._order(active, view, tasks))
 
     async def _order(
         self, active: ActiveJob, view: WorkerView, tasks: list[ActiveTask]
@@ -368,7 +366,9 @@
             self._order_lost(active, view, error)
         except LimpetlandingError as error:
             self._order_lost(active, view, error)
-            self._spawn(self._stop(view, list(keys.values()), 'no answer'))
+            self.background.spawn(
+                self._stop(view, list(keys.values()), 'no answer')
+            )
         else:
             self._order_answered(view, tasks, keys, reply)
         finally:
@@ -500,11 +500,6 @@
             self.fleet.views.pop(view.channel, None)
         self.kick.set()
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = self.loop.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(partial(_ended, self.tasks))
-
 
 def _ignore(_elapsed_s: float, _wait_s: float | None) -> None:
     """Stand in until metrics are served."""
@@ -541,9 +536,3 @@
     """
     longest_s = max(active.chains_s[x.step_index] for x in active.waiting)
     return (active.due - now) / longest_s if longest_s else inf
-
-
-def _ended(tasks: set[asyncio.Task[Any]], task: asyncio.Task[Any]) -> None:
-    tasks.discard(task)
-    if not task.cancelled() and task.exception() is not None:
-        logger.opt(exception=task.exception()).error('dispatch task failed')
--- a/src/limpetlanding/runs/fleet.py
+++ b/src/limpetlanding/runs/fleet.py
@@ -93,12 +93,6 @@
             if view.report.pool == pool and view.is_usable()
         ]
 
-    def best_ratio(self, pool: str) -> float:
-        """Return the lowest ratio of run times in a pool, full or not."""
-        return min(
-            (view.report.run_ratio for view in self.usable(pool)), default=1
-        )
-
     def choose(
         self,
         step: Step,
@@ -143,3 +137,8 @@
             cost *= FOREIGN_DOMAIN_FACTOR
         used_share = 1 - view.free.cpu / max(view.capacity.cpu, 1)
         return cost * (1 + FULL_FACTOR * used_share)
+
+
+def best_ratio(views: Iterable[WorkerView]) -> float:
+    """Return the lowest ratio of run times of some workers, full or not."""
+    return min((view.report.run_ratio for view in views), default=1)
--- a/src/limpetlanding/runs/jobs.py
+++ b/src/limpetlanding/runs/jobs.py
@@ -54,8 +54,6 @@
         Its queue.
     arrived : float
         Monotonic seconds.
-    deadline : float
-        When the client stops waiting, in monotonic seconds.
     catalog_version : int
         Version of the configuration that admitted it.
     """
@@ -63,7 +61,6 @@
     job: Job
     queue: Queue
     arrived: float
-    deadline: float
     catalog_version: int
     outcome: asyncio.Future[JobState]
     waiting: list[ActiveTask] = field(default_factory=list)
--- a/src/limpetlanding/runs/keeper.py
+++ b/src/limpetlanding/runs/keeper.py
@@ -7,14 +7,13 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
-from functools import partial
-from typing import Any
 
 from loguru import logger
 
+from limpetlanding.runs.background import Background
 from limpetlanding.runs.health import ExecutorHealth
 from limpetlanding.runs.lease import ExecutorClock
 from limpetlanding.runs.model import Room, RunEnd
@@ -172,7 +171,7 @@
         self.wake = asyncio.Event()
         self.emptied = asyncio.Event()
         self.emptied.set()
-        self.tasks: set[asyncio.Task[Any]] = set()
+        self.background = Background()
 
     @property
     def capacity(self) -> Room:
@@ -234,7 +233,7 @@
         self.runs[held.key] = held
         self.emptied.clear()
         self.on_change()
-        self._spawn(self._start(held))
+        self.background.spawn(self._start(held))
 
     def stop(self, held: HeldRun, how: RunEnd = RunEnd.STOPPED) -> None:
         """Stop a run; its end is reported once it is certain."""
@@ -242,7 +241,7 @@
             held.stop_as = how
         if not held.stop_sent:
             held.stop_sent = True
-            self._spawn(self._stop(held))
+            self.background.spawn(self._stop(held))
 
     def stop_owner(self, owner: str) -> int:
         """Stop all runs of one front; return how many there are."""
@@ -257,9 +256,7 @@
 
     async def close(self) -> None:
         """Stop calling the executor; what runs there lapses."""
-        for task in list(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.background.cancel()
 
     def _begin_life(self, executor: Executor) -> None:
         self.executor = executor
@@ -277,7 +274,7 @@
             pool=executor.pool,
             cpu=executor.capacity.cpu,
         ).info('executor found')
-        self._spawn(self._watch(self.life))
+        self.background.spawn(self._watch(self.life))
         self.on_change()
 
     def _end_life(self, why: str) -> None:
@@ -425,7 +422,7 @@
             )
             self.on_change()
         for key in sorted(keys - self.foreign):
-            self._spawn(self._stop_unknown(*key))
+            self.background.spawn(self._stop_unknown(*key))
         self.foreign = keys
 
     def _note_progress(self, held: HeldRun, percent: float, now: float) -> None:
@@ -566,19 +563,8 @@
             ratio = run_ms / held.estimate_ms
             self.run_ratio += RATIO_WEIGHT * (ratio - self.run_ratio)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = self.loop.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(partial(_ended, self.tasks))
-
 
 def _how(held: HeldRun, listed: RunEnd) -> RunEnd:
     if listed is RunEnd.STOPPED and held.stop_as is not None:
         return held.stop_as
     return listed
-
-
-def _ended(tasks: set[asyncio.Task[Any]], task: asyncio.Task[Any]) -> None:
-    tasks.discard(task)
-    if not task.cancelled() and task.exception() is not None:
-        logger.opt(exception=task.exception()).error('task of keeper failed')
--- a/src/limpetlanding/runs/ports.py
+++ b/src/limpetlanding/runs/ports.py
@@ -239,9 +239,6 @@
 class StorePort(Protocol):
     """Calls to the store; all raise `StoreUnavailable`."""
 
-    async def newest_catalog(self) -> Catalog | None:
-        """Return the newest configuration."""
-
     def catalogs(self) -> AsyncIterator[Catalog]:
         """Yield configurations as they are published, until an error."""
 
--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from limpetlanding.errors import LimpetlandingError
+from limpetlanding.runs.background import Background
 from limpetlanding.runs.catalog import CatalogHolder, decode_catalog
 from limpetlanding.runs.keeper import HeldRun, RunKeeper, RunResult
 from limpetlanding.runs.model import Catalog, Room, RunEnd
@@ -72,7 +73,7 @@
         self.counts: Counter[str] = Counter()
         # Called with labels and the run time in seconds of each ended run.
         self.on_run: Callable[[dict[str, str], float], None] = _ignore_run
-        self.tasks: set[asyncio.Task[Any]] = set()
+        self.background = Background()
         node.handler = self.handle
         node.on_peer_up = self._peer_up
         node.on_peer_down = self._peer_down
@@ -277,9 +278,7 @@
             (x for x in self.node.channels if x.peer.incarnation == owner), None
         )
         if channel is not None and outcomes:
-            task = self.loop.create_task(_tell(channel, RunsEnded(outcomes)))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self.background.spawn(_tell(channel, RunsEnded(outcomes)))
 
     def _changed(self) -> None:
         if not self.report_due:
