Answer all jobs left before a front's grace period ends

Cause: a front kept 0.7 s of the grace period for closing, and connections of jobs that were still running were cut without an answer. A job all of whose orders were refused counted as run. A cancellation that reached another front than the job had no effect. Change: work ends at five sixths of the grace period; the jobs left are then answered 504, or 503 if no task has been started, and a new job that cannot end in time is refused. A front that does not run a cancelled job tells the others.

--- a/src/limpetlanding/platform/ingress.py
+++ b/src/limpetlanding/platform/ingress.py
@@ -61,13 +61,12 @@
         return _answer(404, error='no such path')
     if request.method == 'POST':
         return await _submit(front, queue, job_id, request)
+    if request.method == 'DELETE' and front.cancel(job_id):
+        return _answer(200)
     active = front.dispatcher.jobs.get(job_id)
     if active is None:
         return _answer(410, error='no such job')
-    if request.method == 'DELETE':
-        front.dispatcher.cancel(job_id)
-        return _answer(200)
-    state = 'running' if active.ever_ordered else 'queued'
+    state = 'running' if active.has_run else 'queued'
     return _answer(200, state=state)
 
 
@@ -88,6 +87,11 @@
             'refused: {}', error.detail
         )
         return _refuse(error.detail)
+    if not front.can_finish(job, queue, wait_s):
+        logger.bind(request_id=job_id, step='submit').info(
+            'refused: the front stops'
+        )
+        return _refuse('the front stops')
     try:
         state = await front.dispatcher.submit(
             job, queue, wait_s, catalog.version
--- a/src/limpetlanding/platform/roles.py
+++ b/src/limpetlanding/platform/roles.py
@@ -66,8 +66,10 @@
 METRICS_PORT = 9464
 """Port of metrics and status, as `deploy/system.toml` tells the platform."""
 
-EXIT_MARGIN_S = 0.7
-"""Time kept at the end of the grace period for stopping runs."""
+WORK_SHARE = 5 / 6
+"""Share of the grace period in which jobs and runs may end. The rest is for
+answers, for stopping runs and for closing connections; the platform's pages
+allow for cutting work in it."""
 
 
 async def run_front() -> None:
@@ -94,8 +96,8 @@
             ),
         ):
             await _terminated(stop)
-            front.stopping = True
-            await _finish_jobs(front, settings.grace_s - EXIT_MARGIN_S)
+            front.begin_stop(settings.grace_s * WORK_SHARE)
+            await _finish_jobs(front)
     logger.bind(step='stop').info('stopped')
 
 
@@ -129,7 +131,7 @@
             ),
         ):
             await _terminated(stop)
-            await worker.drain(settings.grace_s - EXIT_MARGIN_S)
+            await worker.drain(settings.grace_s * WORK_SHARE)
         await worker.keeper.close()
     logger.bind(step='stop').info('stopped')
 
@@ -247,11 +249,11 @@
         signal.signal(number, signal.SIG_IGN)
 
 
-async def _finish_jobs(front: Front, most_s: float) -> None:
+async def _finish_jobs(front: Front) -> None:
     loop = asyncio.get_running_loop()
-    begin = loop.time()
-    while loop.time() < begin + most_s:
-        if not front.dispatcher.jobs and loop.time() > begin + BALANCER_S:
+    balancer_knows_at = loop.time() + BALANCER_S
+    while loop.time() < front.stops_at:
+        if not front.dispatcher.jobs and loop.time() > balancer_knows_at:
             return
         await asyncio.sleep(0.05)
 
--- a/src/limpetlanding/platform/tests/rig.py
+++ b/src/limpetlanding/platform/tests/rig.py
@@ -189,7 +189,8 @@
         stack = AsyncExitStack()
         node = new_node('front', f'f{number}', 50 + number, life)
         store = LogStore(f'127.0.0.1:{STORE_PORT}')
-        front = Front(node, store, [], Random(2))
+        seeds = [f'127.0.0.1:{LINK_PORT + 50}']
+        front = Front(node, store, seeds, Random(2))
         stack.push_async_callback(store.close)
         stack.push_async_callback(node.stop, False)
         await node.start()
--- a/src/limpetlanding/platform/tests/test_jobs.py
+++ b/src/limpetlanding/platform/tests/test_jobs.py
@@ -256,6 +256,26 @@
             assert (await system.call('DELETE', f'/quote/{JOB}'))[0] == 200
             assert (await job)[1] == {'state': 'failed'}
 
+    async def test_job_is_cancelled_at_another_front(self):
+        async with System(front_count=3).run() as system:
+            for executor in system.executors:
+                executor.work_s = lambda _: 5
+            job = asyncio.create_task(system.submit(JOB, wait_ms=9000, front=1))
+            await asyncio.sleep(0.5)
+            status, _, _ = await system.call('DELETE', f'/quote/{JOB}', front=2)
+            assert status == 410
+            assert await job == (200, {'state': 'failed'})
+            await system.settle(0.5)
+            assert all(x.ended is not None for x in system.history())
+
+    async def test_job_whose_orders_were_refused_has_not_run(self):
+        async with System(worker_count=1).run() as system:
+            worker = system.workers[0]
+            worker.keeper.refusal = lambda need: 'no room' if need.cpu else ''
+            status, _ = await system.submit(JOB, wait_ms=500)
+            assert status == 503
+            assert not system.history()
+
     async def test_refusal_that_concerns_one_task_is_not_repeated_at_once(self):
         async with System(worker_count=1).run() as system:
             system.executors[0].work_s = lambda task: 0.5
@@ -329,3 +349,30 @@
             await system.start_worker(0, life=2)
             await system.settle(0.5)
             assert (await system.submit(JOB))[0] == 200
+
+
+class TestStop:
+    """Guards against jobs that are cut when their front stops."""
+
+    async def test_jobs_left_are_answered(self):
+        async with System().run() as system:
+            for executor in system.executors:
+                executor.work_s = lambda _: 5
+            running = asyncio.create_task(system.submit(JOB, wait_ms=9000))
+            waiting = asyncio.create_task(
+                system.submit(OTHER, body(requirements='none'), wait_ms=9000)
+            )
+            await asyncio.sleep(0.2)
+            begin = asyncio.get_running_loop().time()
+            system.fronts[0].begin_stop(1)
+            assert (await running)[0] == 504
+            assert (await waiting)[0] == 503
+            assert asyncio.get_running_loop().time() - begin < 1.1
+
+    async def test_job_that_cannot_end_in_time_is_refused(self):
+        async with System().run() as system:
+            system.fronts[0].begin_stop(1)
+            long = body(estimateMs=2000)
+            assert (await system.submit(JOB, long, wait_ms=9000))[0] == 503
+            assert (await system.submit(OTHER, body(), wait_ms=900))[0] == 200
+            assert not [x for x in system.history() if JOB in x.task]
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -82,6 +82,7 @@
         self.loop = asyncio.get_running_loop()
         self.jobs: dict[str, ActiveJob] = {}
         self.recent: dict[str, ActiveJob] = {}
+        self.cancelled: set[str] = set()
         self.kick = asyncio.Event()
         self.lost_at: dict[Channel, float] = {}
         self.background = Background()
@@ -119,6 +120,8 @@
         GivenUp
             If the job was not finished in time.
         """
+        if job.job_id in self.cancelled:
+            return JobState.FAILED
         if job.job_id not in self.jobs:
             await self._wait_for_earlier(job.job_id)
         active = self.jobs.get(job.job_id)
@@ -132,24 +135,46 @@
             answer = state.value
             return state
         except TimeoutError:
-            answer = 'given up' if active.ever_ordered else 'not run'
-            raise self._time_out(active) from None
+            answer = _unfinished(active)
+            raise self._give_up(active) from None
+        except LimpetlandingError:
+            answer = _unfinished(active)
+            raise
         finally:
             active.watchers -= 1
             if not active.watchers:
                 self._end(active, answer)
 
-    def cancel(self, job_id: str) -> None:
-        """Cancel a running job; its waiting clients are told that it failed."""
-        active = self.jobs[job_id]
+    def cancel(self, job_id: str) -> bool:
+        """Cancel a job; its waiting clients are told that it failed.
+
+        A submission that arrives later is answered in the same way.
+
+        Returns
+        -------
+        bool
+            Whether the job was running here.
+        """
+        self.cancelled.add(job_id)
+        self.loop.call_later(MEMORY_S, self.cancelled.discard, job_id)
+        active = self.jobs.get(job_id)
+        if active is None:
+            return False
         if not active.outcome.done():
             active.outcome.set_result(JobState.FAILED)
         self._end(active, 'cancelled')
+        return True
+
+    def give_up_all(self) -> None:
+        """Answer all jobs at once, because the front stops."""
+        for active in list(self.jobs.values()):
+            if not active.outcome.done():
+                active.outcome.set_exception(self._give_up(active))
 
     def waiting_count(self, queue: Queue) -> int:
         """Return the number of the queue's jobs of which no task has run."""
         return sum(
-            active.queue.name == queue.name and not active.ever_ordered
+            active.queue.name == queue.name and not active.has_run
             for active in self.jobs.values()
         )
 
@@ -228,8 +253,8 @@
         self.kick.set()
         return active
 
-    def _time_out(self, active: ActiveJob) -> LimpetlandingError:
-        error_type = GivenUp if active.ever_ordered else NotRun
+    def _give_up(self, active: ActiveJob) -> LimpetlandingError:
+        error_type = GivenUp if active.has_run else NotRun
         return error_type(
             f'{len(active.waiting)} tasks waiting, '
             f'{len(active.placed)} running',
@@ -262,7 +287,7 @@
         now = self.loop.time()
         self.counts[f'jobs_{answer.replace(" ", "_")}'] += 1
         wait_s = None
-        if active.ever_ordered:
+        if active.first_ordered is not None:
             wait_s = active.first_ordered - active.arrived
         self.on_answer(now - active.arrived, wait_s)
         logger.bind(
@@ -333,9 +358,9 @@
             active.workers.add(view.name)
             orders[view].append(task)
         active.waiting = left
-        if orders and not active.ever_ordered:
-            active.ever_ordered = True
+        if orders and active.first_ordered is None:
             active.first_ordered = now
+        active.open_orders += len(orders)
         for view, tasks in orders.items():
             self.background.spawn(self._order(active, view, tasks))
 
@@ -370,8 +395,10 @@
                 self._stop(view, list(keys.values()), 'no answer')
             )
         else:
+            active.may_have_run |= bool(reply.taken)
             self._order_answered(view, tasks, keys, reply)
         finally:
+            active.open_orders -= 1
             for key in keys.values():
                 view.ordered.pop(key, None)
             self.kick.set()
@@ -379,6 +406,7 @@
     def _order_lost(
         self, active: ActiveJob, view: WorkerView, error: Exception
     ) -> None:
+        active.may_have_run = True
         logger.bind(
             request_id=active.job.job_id,
             peer=view.name,
@@ -505,6 +533,10 @@
     """Stand in until metrics are served."""
 
 
+def _unfinished(active: ActiveJob) -> str:
+    return 'given up' if active.has_run else 'not run'
+
+
 def _order_of(task: ActiveTask) -> RunOrder:
     need: Room = task.step.need
     return RunOrder(
--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -1,6 +1,7 @@
 """Front: finds the workers, follows the configuration, runs jobs."""
 
 import asyncio
+from math import inf
 from random import Random
 from typing import Any
 
@@ -10,10 +11,12 @@
 from limpetlanding.runs.catalog import CatalogHolder, decode_catalog
 from limpetlanding.runs.dispatcher import Dispatcher
 from limpetlanding.runs.fleet import Fleet
-from limpetlanding.runs.model import Catalog
+from limpetlanding.runs.jobs import objective_s
+from limpetlanding.runs.model import Catalog, Job, Queue
 from limpetlanding.runs.ports import StorePort, WorkerRecord
 from limpetlanding.wire import Channel, Node
 from limpetlanding.wire.run_messages import (
+    CancelJob,
     CatalogUpdate,
     KnownWorkers,
     RunsEnded,
@@ -25,6 +28,10 @@
 workers report each second."""
 
 
+LATE_FACTOR = 2
+"""Most jobs that miss their objective end within this multiple of it."""
+
+
 class Front:
     """One front with its links, configuration and jobs.
 
@@ -52,7 +59,8 @@
         self.dispatcher = Dispatcher(self.fleet)
         self.addresses: set[str] = set()
         self.seeds: set[str] = set()
-        self.stopping = False
+        # When the jobs that are left are given up, in monotonic seconds.
+        self.stops_at = inf
         node.handler = self.handle
         node.on_peer_up = self._peer_up
         node.on_peer_down = self._peer_down
@@ -83,6 +91,21 @@
                 )
             )
 
+    @property
+    def stopping(self) -> bool:
+        """Whether the process has been asked to stop."""
+        return self.stops_at < inf
+
+    def begin_stop(self, most_s: float) -> None:
+        """Take no new clients, and give up jobs after `most_s` seconds."""
+        self.stops_at = self.loop.time() + most_s
+        self.loop.call_at(self.stops_at, self.dispatcher.give_up_all)
+
+    def can_finish(self, job: Job, queue: Queue, wait_s: float) -> bool:
+        """Tell whether a new job is likely to end before the front stops."""
+        needed_s = min(wait_s, LATE_FACTOR * objective_s(job, queue))
+        return self.loop.time() + needed_s <= self.stops_at
+
     def missing(self) -> str:
         """Return what keeps the front from taking clients; empty if nothing."""
         if self.stopping:
@@ -108,6 +131,31 @@
                 self.catalogs.offer(decode_catalog(message), channel.peer.node)
         elif isinstance(message, KnownWorkers):
             self._dial(message.addresses)
+        elif isinstance(message, CancelJob):
+            self._cancel(message.job_id, channel.peer.node)
+
+    def cancel(self, job_id: str) -> bool:
+        """Cancel a job; a front that does not run it asks the others.
+
+        Returns
+        -------
+        bool
+            Whether it was running here.
+        """
+        return self._cancel(job_id, 'client')
+
+    def _cancel(self, job_id: str, source: str) -> bool:
+        is_known = job_id in self.dispatcher.cancelled
+        is_here = self.dispatcher.cancel(job_id)
+        logger.bind(
+            request_id=job_id, step='cancel', peer=source, here=is_here
+        ).info('job cancelled')
+        if not is_here and not is_known:
+            # Not all fronts are linked with each other, so it is passed on.
+            for channel in self.node.channels:
+                if channel.links and channel.peer.role == 'front':
+                    channel.notify(CancelJob(job_id))
+        return is_here
 
     def _take_catalog(self, catalog: Catalog) -> None:
         self.catalogs.offer(catalog, 'store')
--- a/src/limpetlanding/runs/jobs.py
+++ b/src/limpetlanding/runs/jobs.py
@@ -67,8 +67,11 @@
     placed: dict[str, ActiveTask] = field(default_factory=dict)
     left: Counter[int] = field(default_factory=Counter)
     started_steps: set[int] = field(default_factory=set)
-    ever_ordered: bool = False
-    first_ordered: float = 0
+    # When the first task was ordered from a worker; none before.
+    first_ordered: float | None = None
+    # Orders without an answer yet, and whether a task may have been started.
+    open_orders: int = 0
+    may_have_run: bool = False
     watchers: int = 0
     ended: bool = False
     vacated: asyncio.Event = field(default_factory=asyncio.Event)
@@ -81,9 +84,7 @@
     def __post_init__(self) -> None:
         """Work out what follows from the declared run times."""
         self.chains_s = _chains_s(self.job.steps)
-        longest_s = max(self.chains_s, default=0)
-        target_s = self.queue.target_ms / 1000
-        self.due = self.arrived + longest_s * self.queue.stretch + target_s
+        self.due = self.arrived + objective_s(self.job, self.queue)
 
     def latest_start(self, run_ratio: float) -> float:
         """Return when the waiting tasks have to start to be on time.
@@ -99,6 +100,11 @@
         )
         return self.due - longest_s * run_ratio
 
+    @property
+    def has_run(self) -> bool:
+        """Whether a task has been started, or may yet be."""
+        return self.may_have_run or self.open_orders > 0
+
     def remove_placed(self, task: ActiveTask) -> None:
         """Note that no run of a task is left."""
         if self.placed.get(task.name) is task:
@@ -136,6 +142,21 @@
             yield ActiveTask(self, step, index, name)
 
 
+def objective_s(job: Job, queue: Queue) -> float:
+    """Return the run time, in seconds, up to which a job is on time.
+
+    Examples
+    --------
+    >>> from limpetlanding.runs.model import Room
+    >>> job = Job('5c0e7a21d94b36f8', '', (Step(1, Room(), 200),))
+    >>> queue = Queue('quotes', '', '', '', stretch=1.5, target_ms=60)
+    >>> round(objective_s(job, queue), 3)
+    0.36
+    """
+    longest_s = max(_chains_s(job.steps), default=0)
+    return longest_s * queue.stretch + queue.target_ms / 1000
+
+
 def _chains_s(steps: tuple[Step, ...]) -> list[float]:
     """Return the longest chain of declared run times from each step on.
 
--- a/src/limpetlanding/wire/run_messages.py
+++ b/src/limpetlanding/wire/run_messages.py
@@ -128,6 +128,14 @@
     body: bytes
 
 
+@message('job.cancel')
+@dataclass(slots=True)
+class CancelJob:
+    """A client has cancelled a job, which another front may be running."""
+
+    job_id: str
+
+
 @message('workers')
 @dataclass(slots=True)
 class KnownWorkers:
