Keep the room of a stopped run until it has ended; pack tasks of a job

A run counted as ended once no inventory listed it, which may be up to 50 ms before its end is listed. Change: a stopped run that is not listed keeps its room for the time of a stop and 0.1 s. A worker sends at most 200 reports a second to all fronts together, and the front whose runs end gets the report with their ends. Handlers that do not wait run without a task. Result: test_room_of_a_stopped_run_is_free_once_it_has_ended fails without the change.

--- a/src/limpetlanding/platform/roles.py
+++ b/src/limpetlanding/platform/roles.py
@@ -110,7 +110,7 @@
         _closing(LogStore(settings.store_address)) as store,
         _closing(ExecutorClient(settings.executor_address)) as port,
     ):
-        worker = Worker(node, port)
+        worker = Worker(node, port, settings.stop_s)
         registration = Registration(
             worker, store, port, settings.pool, SystemRandom()
         )
--- a/src/limpetlanding/platform/settings.py
+++ b/src/limpetlanding/platform/settings.py
@@ -18,6 +18,7 @@
     number_of,
     required,
 )
+from limpetlanding.runs.keeper import STOP_S
 
 SETTINGS_VARIABLE = 'LIMPETLANDING_CONFIG'
 
@@ -56,6 +57,8 @@
         Addresses of links of fronts that may be up.
     grace_s : float
         Time between SIGTERM and SIGKILL.
+    stop_s : float
+        Longest time that a stop takes at the executor, in seconds.
     """
 
     node: str
@@ -70,6 +73,7 @@
     store_address: str
     seeds: list[str]
     grace_s: float
+    stop_s: float
 
 
 def settings_path() -> Path:
@@ -136,4 +140,5 @@
         store_address=field_of(store, 'address', str, '', _STEP),
         seeds=[f'{host}:{ports[0]}' for host in hosts],
         grace_s=float(number_of(bounds, 'graceS', _STEP) or DEFAULT_GRACE_S),
+        stop_s=number_of(bounds, 'stopGraceMs', _STEP) / 1000 or STOP_S,
     )
--- a/src/limpetlanding/platform/tests/test_jobs.py
+++ b/src/limpetlanding/platform/tests/test_jobs.py
@@ -163,6 +163,28 @@
             assert not overlaps(system.history())
             assert len(system.history()) == 4
 
+    async def test_room_of_a_stopped_run_is_free_once_it_has_ended(self):
+        async with System(worker_count=1).run() as system:
+            executor = system.executors[0]
+            executor.faults.hides_stopping = True
+            # Ends of short runs let inventories follow each other closely.
+            executor.work_s = lambda task: 2 if task[0] == 'f' else 0.02
+            for number in range(20):
+                job = asyncio.create_task(
+                    system.submit(f'f{number:015x}', body(8), 9000)
+                )
+                await asyncio.sleep(0.1)
+                short = [
+                    system.submit(f'{number:08x}{x:08x}', body(1), 9000)
+                    for x in range(12)
+                ]
+                short = asyncio.gather(*short)
+                await asyncio.sleep(0.005 * number)
+                await system.call('DELETE', f'/quote/f{number:015x}')
+                await job
+                await short
+            assert most_cpu(executor, 3000) <= executor.cpu
+
     async def test_restarted_executor_is_noticed(self):
         async with System().run() as system:
             for executor in system.executors:
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -10,13 +10,12 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from contextlib import suppress
-from math import inf
 
 from loguru import logger
 
 from limpetlanding.errors import LimpetlandingError, PeerLost
 from limpetlanding.runs.background import Background
-from limpetlanding.runs.fleet import Fleet, WorkerView, best_ratio
+from limpetlanding.runs.fleet import Fleet, WorkerView
 from limpetlanding.runs.jobs import (
     MAX_SUSPECT_FAILURES,
     ActiveJob,
@@ -24,6 +23,7 @@
 )
 from limpetlanding.runs.keeper import LEASE_MS
 from limpetlanding.runs.model import Job, JobState, Queue, Room, RunEnd
+from limpetlanding.runs.placement import Assignment, Pool, urgency
 from limpetlanding.wire import Channel
 from limpetlanding.wire.run_messages import (
     HeldRuns,
@@ -95,7 +95,11 @@
         while True:
             await self.kick.wait()
             self.kick.clear()
+            begin = self.loop.time()
             self._place_waiting()
+            # With many waiting jobs a pass takes long, and each report of a
+            # worker asks for one.
+            await asyncio.sleep(self.loop.time() - begin)
 
     async def submit(
         self, job: Job, queue: Queue, wait_s: float, version: int
@@ -212,7 +216,7 @@
             return
         for outcome in message.outcomes:
             self._run_ended(view, outcome)
-        self.kick.set()
+        self.report(channel, message.report)
 
     async def _wait_for_earlier(self, job_id: str) -> None:
         earlier = self.recent.get(job_id)
@@ -311,57 +315,19 @@
     def _place_waiting(self) -> None:
         now = self.loop.time()
         jobs = [active for active in self.jobs.values() if active.waiting]
-        pools = {active.queue.pool for active in jobs}
-        usable = {pool: self.fleet.usable(pool) for pool in pools}
-        best = {pool: best_ratio(usable[pool]) for pool in pools}
-        ranked = sorted(
-            (_urgency(now, active, best[active.queue.pool]), number)
-            for number, active in enumerate(jobs)
-        )
-        for (is_late, _, _), number in ranked:
-            active = jobs[number]
-            most_ratio = inf if is_late else _most_ratio(now, active)
-            self._place_job(active, usable[active.queue.pool], now, most_ratio)
-
-    def _place_job(
-        self,
-        active: ActiveJob,
-        usable: list[WorkerView],
-        now: float,
-        most_ratio: float,
-    ) -> None:
-        orders: dict[WorkerView, list[ActiveTask]] = defaultdict(list)
-        left = []
-        for task in active.waiting:
-            on_worker = Counter(
-                other.worker
-                for other in active.placed.values()
-                if other.step_index == task.step_index
-            )
-            candidates = [
-                view
-                for view in usable
-                if view.is_usable() and task.excluded.get(view.name, 0) <= now
-            ]
-            view = self.fleet.choose(
-                task.step, candidates, task.avoid, on_worker, most_ratio
-            )
-            if view is None:
-                left.append(task)
-                continue
-            run = active.next_run(task)
-            key = run_key(task.name, run)
-            view.ordered[key] = task.step.need
-            view.runs[key] = task
-            task.worker = view.name
-            active.placed[task.name] = task
-            active.workers.add(view.name)
-            orders[view].append(task)
-        active.waiting = left
-        if orders and active.first_ordered is None:
-            active.first_ordered = now
-        active.open_orders += len(orders)
-        for view, tasks in orders.items():
+        names = Counter(active.queue.pool for active in jobs)
+        pools = {name: Pool(self.fleet, name) for name in names}
+        jobs.sort(key=lambda x: urgency(now, x, pools[x.queue.pool].best_ratio))
+        for active in jobs:
+            chosen, left = pools[active.queue.pool].assign(active, now)
+            active.waiting = left
+            self._order_all(active, chosen)
+
+    def _order_all(self, active: ActiveJob, chosen: Assignment) -> None:
+        if chosen and active.first_ordered is None:
+            active.first_ordered = self.loop.time()
+        active.open_orders += len(chosen)
+        for view, tasks in chosen.items():
             self.background.spawn(self._order(active, view, tasks))
 
     async def _order(
@@ -400,7 +366,7 @@
         finally:
             active.open_orders -= 1
             for key in keys.values():
-                view.ordered.pop(key, None)
+                view.settle(key)
             self.kick.set()
 
     def _order_lost(
@@ -547,24 +513,3 @@
         need.gpu,
         task.step.estimate_ms,
     )
-
-
-def _urgency(
-    now: float, active: ActiveJob, run_ratio: float
-) -> tuple[bool, int, float]:
-    """Return the sort key: jobs that can be on time, priority, latest start.
-
-    A job that cannot be on time any more is worth little, but is served when
-    there is room, also by workers that are slow.
-    """
-    latest_start = active.latest_start(run_ratio)
-    return now > latest_start, active.queue.priority, latest_start
-
-
-def _most_ratio(now: float, active: ActiveJob) -> float:
-    """Return the ratio of run times up to which a job is still on time.
-
-    While a faster worker may get room in time, a slower one is not used.
-    """
-    longest_s = max(active.chains_s[x.step_index] for x in active.waiting)
-    return (active.due - now) / longest_s if longest_s else inf
--- a/src/limpetlanding/runs/fleet.py
+++ b/src/limpetlanding/runs/fleet.py
@@ -40,31 +40,50 @@
     reported_at: float
     ordered: dict[str, Room] = field(default_factory=dict)
     runs: dict[str, object] = field(default_factory=dict)
+    # Reported room less what was ordered since.
+    free: Room = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Take the room of the first report."""
+        self._count_free()
 
     @property
     def name(self) -> str:
         """Node name of the worker."""
         return self.channel.peer.node
 
-    @property
-    def free(self) -> Room:
-        """Reported room less what was ordered since."""
-        report = self.report
-        room = Room(report.free_cpu, report.free_memory_mb, report.free_gpu)
-        return sum((Room() - need for need in self.ordered.values()), room)
-
     @property
     def capacity(self) -> Room:
         """Whole room."""
         report = self.report
         return Room(report.cpu, report.memory_mb, report.gpu)
 
+    def update(self, report: WorkerReport, now: float) -> None:
+        """Take a newer report."""
+        self.report = report
+        self.reported_at = now
+        self._count_free()
+
+    def order(self, key: str, need: Room) -> None:
+        """Note a run that is being ordered."""
+        self.ordered[key] = need
+        self.free -= need
+
+    def settle(self, key: str) -> None:
+        """Note that the report contains the outcome of an order."""
+        self.free += self.ordered.pop(key, Room())
+
     def is_usable(self) -> bool:
         """Tell whether new runs may be ordered here."""
         if self.channel.suspect or not self.report.accepting:
             return False
         return self.report.health == 'good' or not (self.ordered or self.runs)
 
+    def _count_free(self) -> None:
+        report = self.report
+        room = Room(report.free_cpu, report.free_memory_mb, report.free_gpu)
+        self.free = sum((Room() - need for need in self.ordered.values()), room)
+
 
 class Fleet:
     """Workers of all pools, by channel."""
@@ -81,8 +100,8 @@
         if view is None:
             view = WorkerView(channel, report, now)
             self.views[channel] = view
-        view.report = report
-        view.reported_at = now
+        else:
+            view.update(report, now)
         return view
 
     def usable(self, pool: str) -> list[WorkerView]:
@@ -93,41 +112,28 @@
             if view.report.pool == pool and view.is_usable()
         ]
 
-    def choose(
-        self,
-        step: Step,
-        candidates: Iterable[WorkerView],
-        avoid: set[str],
-        on_worker: dict[str, int],
-        most_ratio: float,
-    ) -> WorkerView | None:
-        """Return the worker where a task of `step` is expected to end first.
+    def ranked(
+        self, step: Step, views: Iterable[WorkerView], most_ratio: float
+    ) -> list[WorkerView]:
+        """Return workers with room for a task, first where it may end first.
 
         Parameters
         ----------
         step : Step
             Step of the task.
-        candidates : iterable of WorkerView
+        views : iterable of WorkerView
             Usable workers of the pool.
-        avoid : set of str
-            Workers at which the task has failed; they are a last resort.
-        on_worker : dict
-            Number of tasks of the step by worker.
         most_ratio : float
             Workers with a higher ratio of run times are too slow.
         """
         fitting = [
             view
-            for view in candidates
-            if view.report.run_ratio <= most_ratio
-            and view.free.fits(step.need)
+            for view in views
+            if view.free.fits(step.need)
+            and view.report.run_ratio <= most_ratio
             and (not step.label or step.label in view.report.labels)
-            and not 0 < step.most_per_worker <= on_worker.get(view.name, 0)
         ]
-        sound = [view for view in fitting if view.name not in avoid]
-        return min(
-            sound or fitting, key=lambda x: self._cost(x, step), default=None
-        )
+        return sorted(fitting, key=lambda x: self._cost(x, step))
 
     def _cost(self, view: WorkerView, step: Step) -> float:
         cost = view.report.run_ratio
--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -1,6 +1,7 @@
 """Front: finds the workers, follows the configuration, runs jobs."""
 
 import asyncio
+from collections.abc import Callable
 from math import inf
 from random import Random
 from typing import Any
@@ -61,6 +62,13 @@
         self.seeds: set[str] = set()
         # When the jobs that are left are given up, in monotonic seconds.
         self.stops_at = inf
+        self.handlers: dict[type, Callable[[Channel, Any], None]] = {
+            WorkerReport: self.dispatcher.report,
+            RunsEnded: self.dispatcher.ended,
+            CatalogUpdate: self._take_update,
+            KnownWorkers: self._take_known,
+            CancelJob: self._take_cancel,
+        }
         node.handler = self.handle
         node.on_peer_up = self._peer_up
         node.on_peer_down = self._peer_down
@@ -120,19 +128,11 @@
             return 'no worker'
         return ''
 
-    async def handle(self, channel: Channel, message: Any) -> Any:
+    def handle(self, channel: Channel, message: Any) -> Any:
         """Serve a message of a worker or of another front."""
-        if isinstance(message, WorkerReport):
-            self.dispatcher.report(channel, message)
-        elif isinstance(message, RunsEnded):
-            self.dispatcher.ended(channel, message)
-        elif isinstance(message, CatalogUpdate):
-            if message.version > self.catalogs.version:
-                self.catalogs.offer(decode_catalog(message), channel.peer.node)
-        elif isinstance(message, KnownWorkers):
-            self._dial(message.addresses)
-        elif isinstance(message, CancelJob):
-            self._cancel(message.job_id, channel.peer.node)
+        handler = self.handlers.get(type(message))
+        if handler is not None:
+            handler(channel, message)
 
     def cancel(self, job_id: str) -> bool:
         """Cancel a job; a front that does not run it asks the others.
@@ -157,6 +157,16 @@
                     channel.notify(CancelJob(job_id))
         return is_here
 
+    def _take_update(self, channel: Channel, update: CatalogUpdate) -> None:
+        if update.version > self.catalogs.version:
+            self.catalogs.offer(decode_catalog(update), channel.peer.node)
+
+    def _take_known(self, _channel: Channel, known: KnownWorkers) -> None:
+        self._dial(known.addresses)
+
+    def _take_cancel(self, channel: Channel, message: CancelJob) -> None:
+        self._cancel(message.job_id, channel.peer.node)
+
     def _take_catalog(self, catalog: Catalog) -> None:
         self.catalogs.offer(catalog, 'store')
 
--- a/src/limpetlanding/runs/jobs.py
+++ b/src/limpetlanding/runs/jobs.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from limpetlanding.runs.model import Job, JobState, Queue, Step
+from limpetlanding.wire.run_messages import run_key
 
 MAX_SUSPECT_FAILURES = 6
 """Failures at suspect executors that a task survives; these say little about
@@ -41,6 +42,11 @@
     excluded: dict[str, float] = field(default_factory=dict)
     done: bool = False
 
+    @property
+    def key(self) -> str:
+        """Name of the present run."""
+        return run_key(self.name, self.run)
+
 
 @dataclass(slots=True, eq=False)
 class ActiveJob:
@@ -130,11 +136,13 @@
         """Tell whether all tasks of all steps are done."""
         return all(map(self.is_step_done, range(len(self.job.steps))))
 
-    def next_run(self, task: ActiveTask) -> int:
-        """Return a run number that no earlier run of the task has had."""
+    def place(self, task: ActiveTask, worker: str) -> None:
+        """Begin a run, with a number that no earlier run of the task had."""
         self.runs[task.name] += 1
         task.run = self.runs[task.name]
-        return task.run
+        task.worker = worker
+        self.placed[task.name] = task
+        self.workers.add(worker)
 
     def _tasks_of(self, index: int, step: Step) -> Iterator[ActiveTask]:
         for number in range(step.count):
--- a/src/limpetlanding/runs/keeper.py
+++ b/src/limpetlanding/runs/keeper.py
@@ -58,6 +58,13 @@
 """A run without progress for this long is stopped; a sound one changes its
 percentage in every inventory."""
 
+STOP_S = 0.05
+"""Longest time that a stop takes at the executor, unless settings differ."""
+
+STOP_MARGIN_S = 0.1
+"""Added to the time of a stop before a run that no inventory lists counts as
+ended; the end itself is listed sooner if the run was there."""
+
 MAX_START_ATTEMPTS = 3
 
 RATIO_WEIGHT = 0.1
@@ -136,6 +143,8 @@
         Receives each `RunResult`.
     on_change : callable
         Called when room, health or state have changed.
+    stop_s : float
+        Longest time that a stop takes at the executor, in seconds.
     """
 
     def __init__(
@@ -143,8 +152,10 @@
         port: ExecutorPort,
         on_end: Callable[[RunResult], None],
         on_change: Callable[[], None],
+        stop_s: float = STOP_S,
     ) -> None:
         self.port = port
+        self.stop_s = stop_s
         self.on_end = on_end
         self.on_change = on_change
         self.loop = asyncio.get_running_loop()
@@ -153,6 +164,8 @@
         self.life = 0
         self.runs: dict[tuple[str, int], HeldRun] = {}
         self.foreign: set[tuple[str, int]] = set()
+        # Unknown runs may occupy room until then, though no longer listed.
+        self.foreign_until: float = 0
         self.clock = ExecutorClock()
         self.health = ExecutorHealth()
         self.run_ratio = 1.0
@@ -195,7 +208,7 @@
             return 'executor silent'
         if self.stopping or self.executor.draining:
             return 'leaving'
-        if self.foreign:
+        if self.foreign or self.loop.time() < self.foreign_until:
             return 'unknown runs are being stopped'
         health = self.health_state()
         if health == 'ejected' or (health == 'trial' and self.runs):
@@ -421,6 +434,10 @@
                 'unknown runs at the executor: {}', len(keys)
             )
             self.on_change()
+        if self.foreign - keys:
+            stop_s = self.stop_s + STOP_MARGIN_S
+            self.foreign_until = self.loop.time() + stop_s
+            self.loop.call_later(stop_s, self.on_change)
         for key in sorted(keys - self.foreign):
             self.background.spawn(self._stop_unknown(*key))
         self.foreign = keys
@@ -507,7 +524,11 @@
     async def _stop(self, held: HeldRun) -> None:
         while self.runs.get(held.key) is held and self.executor is not None:
             if await self._order_stop(held.task, held.run):
-                held.listed_from = self.loop.time()
+                # A run that is being stopped keeps its room, although it may
+                # be listed neither as active nor as ended.
+                held.listed_from = (
+                    self.loop.time() + self.stop_s + STOP_MARGIN_S
+                )
                 self.wake.set()
                 return
 
--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -4,6 +4,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from contextlib import suppress
+from math import inf
 from typing import Any
 
 from loguru import logger
@@ -11,7 +12,7 @@
 from limpetlanding.errors import LimpetlandingError
 from limpetlanding.runs.background import Background
 from limpetlanding.runs.catalog import CatalogHolder, decode_catalog
-from limpetlanding.runs.keeper import HeldRun, RunKeeper, RunResult
+from limpetlanding.runs.keeper import STOP_S, HeldRun, RunKeeper, RunResult
 from limpetlanding.runs.model import Catalog, Room, RunEnd
 from limpetlanding.runs.ports import Executor, ExecutorPort
 from limpetlanding.wire import Channel, Node
@@ -31,6 +32,11 @@
 REPORT_INTERVAL_S = 1
 """Reports are repeated this often, since one may be lost with its link."""
 
+REPORTS_PER_S = 200
+"""Bound on the reports of a worker to all fronts. The front that orders or ends
+a run is told the room by the answer itself, so the others may learn it a few ms
+later; with 3 fronts reports are 15 ms apart, with 11 fronts 55 ms."""
+
 STOP_WAIT_S = 0.3
 """A stop takes 50 ms at the executor; this leaves time for one repetition."""
 
@@ -58,17 +64,25 @@
         Links to the fronts; the worker sets its handler and callbacks.
     port : ExecutorPort
         Calls to the executor.
+    stop_s : float
+        Longest time that a stop takes at the executor, in seconds.
     """
 
-    def __init__(self, node: Node, port: ExecutorPort) -> None:
+    def __init__(
+        self, node: Node, port: ExecutorPort, stop_s: float = STOP_S
+    ) -> None:
         self.node = node
         self.loop = asyncio.get_running_loop()
-        self.keeper = RunKeeper(port, self._ended, self._changed)
+        self.keeper = RunKeeper(port, self._ended, self._changed, stop_s)
         self.catalogs = CatalogHolder(self._relay)
         self.outcomes: dict[str, list[RunOutcome]] = defaultdict(list)
         self.barred: dict[str, float] = {}
         self.recent: dict[tuple[str, str], None] = {}
         self.report_due = False
+        self.report_timer: asyncio.TimerHandle | None = None
+        self.reported_at = -inf
+        # What a report said that fronts have to know at once.
+        self.reported_state: tuple[str, bool, str] = ('', False, '')
         self.on_announce: Callable[[], None] = _ignore
         self.counts: Counter[str] = Counter()
         # Called with labels and the run time in seconds of each ended run.
@@ -144,7 +158,7 @@
             run_ratio=keeper.run_ratio,
         )
 
-    async def handle(self, channel: Channel, message: Any) -> Any:
+    def handle(self, channel: Channel, message: Any) -> Any:
         """Serve a message of a front."""
         if isinstance(message, StartRuns):
             return self._start(channel, message)
@@ -278,19 +292,41 @@
             (x for x in self.node.channels if x.peer.incarnation == owner), None
         )
         if channel is not None and outcomes:
-            self.background.spawn(_tell(channel, RunsEnded(outcomes)))
+            self.background.spawn(
+                _tell(channel, RunsEnded(outcomes, self.report()))
+            )
 
     def _changed(self) -> None:
         if not self.report_due:
             self.report_due = True
-            self.loop.call_soon(self._send_report)
+            # Several changes of one moment make one report.
+            self.loop.call_soon(self._report_if_due)
 
-    def _send_report(self) -> None:
+    def _report_if_due(self) -> None:
         self.report_due = False
+        due = self.reported_at + len(self._fronts()) / REPORTS_PER_S
+        is_urgent = _urgent_part(self.report()) != self.reported_state
+        if is_urgent or self.loop.time() >= due:
+            self._send_report()
+        elif self.report_timer is None:
+            self.report_timer = self.loop.call_at(due, self._send_report)
+
+    def _send_report(self) -> None:
+        if self.report_timer is not None:
+            self.report_timer.cancel()
+            self.report_timer = None
         report = self.report()
-        for channel in self.node.channels:
-            if channel.links and channel.peer.role == 'front':
-                channel.notify(report)
+        self.reported_at = self.loop.time()
+        self.reported_state = _urgent_part(report)
+        for channel in self._fronts():
+            channel.notify(report)
+
+    def _fronts(self) -> list[Channel]:
+        return [
+            channel
+            for channel in self.node.channels
+            if channel.links and channel.peer.role == 'front'
+        ]
 
     def _relay(self, _catalog: Catalog) -> None:
         update = self.catalogs.update()
@@ -312,6 +348,10 @@
         ).info('front lost')
 
 
+def _urgent_part(report: WorkerReport) -> tuple[str, bool, str]:
+    return report.executor, report.accepting, report.health
+
+
 def _ignore() -> None:
     """Stand in until someone wants to know of announcements."""
 
--- a/src/limpetlanding/standin/platform_executor.py
+++ b/src/limpetlanding/standin/platform_executor.py
@@ -60,6 +60,8 @@
         New runs make no progress.
     unhealthy : bool
         Starts are refused with 503.
+    hides_stopping : bool
+        Runs that are being stopped are listed as neither active nor ended.
     """
 
     silent: bool = False
@@ -67,6 +69,7 @@
     fails: bool = False
     stalls: bool = False
     unhealthy: bool = False
+    hides_stopping: bool = False
 
 
 @dataclass(slots=True)
@@ -249,6 +252,7 @@
             running=[
                 [run.task, run.run, '', self._percent(run, now), 100]
                 for run in self.runs.values()
+                if not (run.stopping and self.faults.hides_stopping)
             ],
             endedRuns=[
                 [number, run.task, run.run, run.how, '']
--- a/src/limpetlanding/wire/channel.py
+++ b/src/limpetlanding/wire/channel.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, replace
+from inspect import isawaitable
 from typing import Any
 
 from loguru import logger
@@ -23,7 +24,9 @@
 # processor from the work that succeeds.
 _LOG_INTERVAL_S = 1
 
-Handler = Callable[['Channel', Any], Awaitable[Any]]
+Handler = Callable[['Channel', Any], Any]
+"""Returns the reply or an awaitable of it. What is not awaited costs no task,
+which counts where reports of many peers arrive."""
 
 
 class RemoteError(LimpetlandingError):
@@ -185,9 +188,7 @@
         elif isinstance(frame.message, Heartbeat):
             self._receive_heartbeat(frame.message)
         else:
-            task = self.loop.create_task(self._serve_notification(frame))
-            self.notified.add(task)
-            task.add_done_callback(self.notified.discard)
+            self._receive_notification(frame)
 
     def fail(self, detail: str) -> None:
         """Close the channel; every unanswered request fails."""
@@ -269,7 +270,10 @@
         if self.stopping:
             return ErrorReply(frame.tag, self.own.node, 'the peer is stopping')
         try:
-            return await self.handler(self, frame.message) or Ack()
+            reply = self.handler(self, frame.message)
+            if isawaitable(reply):
+                reply = await reply
+            return reply or Ack()
         except asyncio.CancelledError as error:
             link = self.serving[frame.number].link
             self._send_reply(
@@ -288,11 +292,22 @@
                 return
         self.counters.events['replies_unsent'] += 1
 
-    async def _serve_notification(self, frame: Frame) -> None:
+    def _receive_notification(self, frame: Frame) -> None:
         try:
-            await self.handler(self, frame.message)
+            waiting = self.handler(self, frame.message)
         except Exception as error:
             self._log_failure(frame.tag, error)
+            return
+        if isawaitable(waiting):
+            task = self.loop.create_task(self._finish(frame.tag, waiting))
+            self.notified.add(task)
+            task.add_done_callback(self.notified.discard)
+
+    async def _finish(self, step: str, waiting: Awaitable[Any]) -> None:
+        try:
+            await waiting
+        except Exception as error:
+            self._log_failure(step, error)
 
     def _error_reply(self, frame: Frame, error: BaseException) -> ErrorReply:
         if isinstance(error, LimpetlandingError):
--- a/src/limpetlanding/wire/run_messages.py
+++ b/src/limpetlanding/wire/run_messages.py
@@ -89,9 +89,10 @@
 @message('ended')
 @dataclass(slots=True)
 class RunsEnded:
-    """Worker to front: runs that have ended."""
+    """Worker to front: runs that have ended, and the room left."""
 
     outcomes: list[RunOutcome]
+    report: WorkerReport
 
 
 @message('stop')
