--- a/src/limpetlanding/soak/__main__.py
+++ b/src/limpetlanding/soak/__main__.py
@@ -67,6 +67,7 @@
     async def play_one(seed: int) -> Report:
         async with slots:
             directory = output / str(seed)
+            shutil.rmtree(directory, ignore_errors=True)
             directory.mkdir(parents=True, exist_ok=True)
             report = await play(seed, next(numbers) % 250 + 1, directory, *size)
         _print(report, console)
@@ -83,7 +84,9 @@
 def _print(report: Report, console: Console) -> None:
     console.print(
         f'seed {report.seed}: {report.faults.total()} faults, '
-        f'answers {dict(report.answers)}, findings {len(report.findings)}'
+        f'answers {dict(report.answers)}, '
+        f'own standstill {report.standstill_s:.2f} s, '
+        f'findings {len(report.findings)}'
     )
     for finding in report.findings:
         console.print(f'  {finding}')
--- a/src/limpetlanding/soak/play.py
+++ b/src/limpetlanding/soak/play.py
@@ -34,6 +34,9 @@
 RESEND_S = 1.3
 """A client whose connection broke sends the job again after this time."""
 
+WATCH_S = 0.05
+"""Interval of the check that the soak itself goes on."""
+
 END_S = 3
 """All runs without a client have ended this long after the last answer."""
 
@@ -48,6 +51,8 @@
     findings: list[str] = field(default_factory=list)
     # Moment, kind and place of each fault, for reading the logs.
     timeline: list[str] = field(default_factory=list)
+    # Longest time that the soak itself stood still, in seconds.
+    standstill_s: float = 0
 
 
 class Player:
@@ -70,6 +75,7 @@
 
     async def play(self) -> Report:
         """Run everything and check it."""
+        watch = asyncio.create_task(self.watch())
         await asyncio.sleep(STARTUP_S)
         async with asyncio.TaskGroup() as group:
             group.create_task(self.trouble())
@@ -87,8 +93,20 @@
         if left:
             found.append(f'runs without a client: {left[:3]}')
         found += self.system.broken_promises(self.refused)
+        watch.cancel()
         return self.report
 
+    async def watch(self) -> None:
+        """Measure how long the soak itself stands still.
+
+        Its stand-ins answer nothing meanwhile, so that calm jobs may fail.
+        """
+        while True:
+            due = monotonic() + WATCH_S
+            await asyncio.sleep(WATCH_S)
+            late_s = monotonic() - due
+            self.report.standstill_s = max(self.report.standstill_s, late_s)
+
     async def client(self, job_id: str, delay_s: float) -> str:
         """Submit a job as a client does, and check the answers."""
         tasks = self.rng.randint(1, 5)
