--- a/src/limpetlanding/platform/tests/test_jobs.py
+++ b/src/limpetlanding/platform/tests/test_jobs.py
@@ -9,7 +9,9 @@
     body,
     config,
 )
+from limpetlanding.runs.worker import REPORTS_PER_S
 from limpetlanding.standin.platform_checks import most_cpu, overlaps
+from limpetlanding.wire.run_messages import WorkerReport
 
 JOB = '5c0e7a21d94b36f8'
 OTHER = '5c0e7a21d94b36f9'
@@ -386,6 +388,39 @@
             assert (await system.submit(JOB))[0] == 200
 
 
+class TestReports:
+    """Guards against links that are filled with reports, and old views."""
+
+    async def test_rate_is_bounded(self):
+        async with System(worker_count=1, front_count=2).run() as system:
+            system.executors[0].work_s = lambda _: 0.003
+            sent = []
+            for channel in system.workers[0].node.channels:
+                notify = channel.notify
+                channel.notify = lambda x, send=notify: (
+                    sent.append(x),
+                    send(x),
+                )
+            begin = asyncio.get_running_loop().time()
+            jobs = (
+                system.submit(f'{number:016x}', body(4), 9000, number % 2)
+                for number in range(300)
+            )
+            answers = await asyncio.gather(*jobs)
+            elapsed_s = asyncio.get_running_loop().time() - begin
+            assert {status for status, _ in answers} == {200}
+            reports = [x for x in sent if isinstance(x, WorkerReport)]
+            assert len(reports) <= REPORTS_PER_S * elapsed_s + 4
+
+    async def test_change_of_state_is_reported_at_once(self):
+        async with System(worker_count=1).run() as system:
+            (view,) = system.fronts[0].fleet.views.values()
+            fields = system.executors[0].announcement()
+            await system.announce(0, fields | {'state': 'draining'})
+            await asyncio.sleep(0.002)
+            assert not view.report.accepting
+
+
 class TestStop:
     """Guards against jobs that are cut when their front stops."""
 
--- /dev/null
+++ b/src/limpetlanding/runs/tests/test_placement.py
@@ -0,0 +1,132 @@
+"""Choice of workers for the tasks of one job."""
+
+import asyncio
+from collections import Counter
+from types import SimpleNamespace
+
+import pytest
+
+from limpetlanding.runs.fleet import Fleet
+from limpetlanding.runs.jobs import ActiveJob
+from limpetlanding.runs.model import Job, Queue, Room, Step
+from limpetlanding.runs.placement import PACK_TASKS, Pool, urgency
+from limpetlanding.wire.run_messages import WorkerReport
+
+CPU = 1000
+NOW = 100.0
+
+
+class StandinChannel:
+    """Link to a worker that is heard."""
+
+    def __init__(self, name):
+        self.peer = SimpleNamespace(node=name)
+        self.suspect = False
+
+
+def report(free_cpu=64_000, run_ratio=1.0, domain='z1', labels=()):
+    return WorkerReport(
+        'i-1/1',
+        'desk',
+        domain,
+        list(labels),
+        64_000,
+        1024,
+        0,
+        free_cpu,
+        1024,
+        0,
+        True,
+        'good',
+        run_ratio,
+    )
+
+
+def fleet_of(**reports):
+    fleet = Fleet('z1')
+    for name, known in reports.items():
+        fleet.update(StandinChannel(name), known, NOW)
+    return fleet
+
+
+def new_job(count=8, arrived=NOW, priority=0, **fields):
+    step = Step(count, Room(CPU, 1), 100, **fields)
+    active = ActiveJob(
+        Job('5c0e7a21d94b36f8', '', (step,)),
+        Queue('q', '', '', 'desk', priority, stretch=1.6, target_ms=60),
+        arrived,
+        1,
+        asyncio.get_running_loop().create_future(),
+    )
+    active.release_steps()
+    return active
+
+
+def assign(active, fleet, now=NOW):
+    chosen, left = Pool(fleet, 'desk').assign(active, now)
+    return Counter({x.name: len(tasks) for x, tasks in chosen.items()}), left
+
+
+class TestAssign:
+    """Guards against scattered jobs and against runs beyond a limit."""
+
+    async def test_tasks_are_packed(self):
+        fleet = fleet_of(a=report(), b=report(), c=report())
+        counts, left = assign(new_job(8), fleet)
+        assert sorted(counts.values()) == [PACK_TASKS, PACK_TASKS]
+        assert not left
+
+    async def test_room_is_taken_at_once(self):
+        fleet = fleet_of(a=report(3 * CPU), b=report(2 * CPU))
+        counts, left = assign(new_job(8), fleet)
+        assert counts == {'a': 3, 'b': 2}
+        assert len(left) == 3
+        assert all(view.free.cpu == 0 for view in fleet.views.values())
+
+    async def test_most_per_worker(self):
+        fleet = fleet_of(a=report(), b=report())
+        counts, left = assign(new_job(8, most_per_worker=2), fleet)
+        assert counts == {'a': 2, 'b': 2}
+        assert len(left) == 4
+
+    async def test_label_is_required(self):
+        fleet = fleet_of(a=report(), b=report(labels=['r1']))
+        counts, _ = assign(new_job(2, label='r1'), fleet)
+        assert counts == {'b': 2}
+
+    async def test_worker_of_a_failure_is_a_last_resort(self):
+        active = new_job(1)
+        active.waiting[0].avoid.add('a')
+        fleet = fleet_of(a=report(), b=report(run_ratio=1.5))
+        assert assign(active, fleet)[0] == {'b': 1}
+        active = new_job(1)
+        active.waiting[0].avoid.add('a')
+        assert assign(active, fleet_of(a=report()))[0] == {'a': 1}
+
+    async def test_refusing_worker_is_left_out_for_a_while(self):
+        active = new_job(1)
+        active.waiting[0].excluded['a'] = NOW + 0.05
+        fleet = fleet_of(a=report())
+        assert not assign(active, fleet)[0]
+        assert assign(active, fleet, NOW + 0.06)[0] == {'a': 1}
+
+    @pytest.mark.parametrize(('waited_s', 'used'), [(0, 0), (0.3, 1)])
+    async def test_slow_worker_is_used_once_the_job_is_late(
+        self, waited_s, used
+    ):
+        fleet = fleet_of(slow=report(run_ratio=4), full=report(0))
+        counts, _ = assign(new_job(1), fleet, NOW + waited_s)
+        assert counts['slow'] == used
+
+
+class TestUrgency:
+    """Guards against late jobs that hold up those still on time."""
+
+    async def test_order(self):
+        late = new_job(arrived=NOW - 1)
+        on_time = new_job()
+        earlier = new_job(arrived=NOW - 0.05)
+        less = new_job(arrived=NOW - 0.05, priority=1)
+        jobs = [late, less, on_time, earlier]
+        jobs.sort(key=lambda x: urgency(NOW, x, 1))
+        assert jobs == [earlier, on_time, less, late]
