Send the calm jobs of the soak over new connections

They were sent on open connections that a proxy had silenced, which stay dead, and never reached a front. Change: the clients open new connections before the calm jobs.

--- a/src/limpetlanding/soak/play.py
+++ b/src/limpetlanding/soak/play.py
@@ -88,6 +88,7 @@
             for number in range(JOBS):
                 group.create_task(self.client(f'{number:016x}', FAULTS_S))
         await asyncio.sleep(CALM_S)
+        await self.system.renew_clients()
         calm = [f'ca{number:014x}' for number in range(CALM_JOBS)]
         answers = await asyncio.gather(*(self.client(x, 0) for x in calm))
         await asyncio.sleep(END_S)
--- a/src/limpetlanding/soak/system.py
+++ b/src/limpetlanding/soak/system.py
@@ -56,6 +56,7 @@
         self.processes: dict[str, Process] = {}
         self.proxies: dict[str, Proxy] = {}
         self.session: aiohttp.ClientSession | None = None
+        self.clients: aiohttp.ClientSession | None = None
         for front in range(fronts):
             self._add('front', front)
         for worker in range(workers):
@@ -66,10 +67,10 @@
         """Run everything within the block."""
         async with AsyncExitStack() as stack:
             self.configure()
-            self.session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0)
-            )
+            self.session = aiohttp.ClientSession()
             stack.push_async_callback(self.session.close)
+            self.clients = _new_clients()
+            stack.push_async_callback(self.close_clients)
             store = f'{self._host(3, 0)}:{STORE_PORT}'
             await stack.enter_async_context(_served(self.store.app(), store))
             for number, executor in enumerate(self.executors):
@@ -108,6 +109,15 @@
         }
         self.store.put(CONFIG_TOPIC, CONFIG_KEY, content)
 
+    async def renew_clients(self) -> None:
+        """Close the connections of clients; some may have been silenced."""
+        await self.close_clients()
+        self.clients = _new_clients()
+
+    async def close_clients(self) -> None:
+        """Close the connections of clients."""
+        await self.clients.close()
+
     async def submit(self, job_id: str, tasks: int, wait_s: float, front: int):
         """Submit a job; return status and body.
 
@@ -124,7 +134,7 @@
         address = self.proxies[f'clients-{front}'].listen
         async with (
             asyncio.timeout(wait_s),
-            self.session.post(
+            self.clients.post(
                 f'http://{address}{PREFIX}{job_id}',
                 data=orjson.dumps(body),
                 headers={
@@ -247,6 +257,10 @@
             await asyncio.sleep(HEARTBEAT_S)
 
 
+def _new_clients() -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+
+
 @asynccontextmanager
 async def _served(app: web.Application, address: str) -> AsyncIterator[None]:
     runner = web.AppRunner(
