Share the platform's bodies between the rig of the tests and the soak

Both built the configuration, the submission, the headers of a client and the heartbeat of an executor; the soak also spelled the platform's settings. They are now made by standin/platform_bodies.py. The programs are unchanged. A docstring of the soak said that a starting process is ended by a signal, which no longer holds.

--- a/src/limpetlanding/platform/tests/rig.py
+++ b/src/limpetlanding/platform/tests/rig.py
@@ -16,6 +16,12 @@
 from limpetlanding.platform.store import CONFIG_KEY, CONFIG_TOPIC, LogStore
 from limpetlanding.runs import Front, Worker
 from limpetlanding.runs.registration import Registration
+from limpetlanding.standin.platform_bodies import (
+    announce,
+    configuration,
+    headers,
+    submission,
+)
 from limpetlanding.standin.platform_executor import StandinExecutor
 from limpetlanding.standin.platform_store import StandinStore
 from limpetlanding.wire import PROTOCOL_VERSION, Hello, Node, NodeOptions
@@ -32,27 +38,12 @@
 
 def config(version=1, **changes):
     """Return a configuration with one queue."""
-    route = {
-        'name': 'r1',
-        'host': HOST,
-        'pathPrefix': '/quote/',
-        'service': 'desk',
-        'maxAttempts': 2,
-        'stretch': 1.6,
-        'targetLatencyMs': 60,
-    }
-    return {
-        'version': version,
-        'routes': [route | changes],
-        'services': [{'name': 'desk'}],
-        'limits': {'maxBodyBytes': 20_000},
-    }
+    return configuration(version, HOST, '/quote/', 'desk', **changes)
 
 
 def body(count=2, **changes):
     """Return the body of a submission with one step."""
-    step = {'count': count, 'cpu': 3000, 'memMb': 64, 'estimateMs': 100}
-    return {'spec': 'x', 'bestEffort': True, 'pipeline': [step | changes]}
+    return submission(count, **changes)
 
 
 @asynccontextmanager
@@ -153,15 +144,10 @@
 
     async def announce(self, number, fields):
         """Send one heartbeat; return the status, None without answer."""
-        executor_id = self.executors[number].executor_id
-        url = f'http://127.0.0.1:{CONTROL_PORT + number}'
-        try:
-            async with self.session.put(
-                f'{url}/api/instances/{executor_id}', data=orjson.dumps(fields)
-            ) as response:
-                return response.status
-        except (aiohttp.ClientError, OSError):
-            return None
+        control = f'127.0.0.1:{CONTROL_PORT + number}'
+        return await announce(
+            self.session, control, self.executors[number], fields
+        )
 
     async def start_worker(self, number, life=1):
         """Start the worker beside an executor."""
@@ -213,7 +199,7 @@
             method,
             f'http://127.0.0.1:{CLIENT_PORT + front}{path}',
             data=None if content is None else orjson.dumps(content),
-            headers={'Host': HOST, 'X-Deadline-Ms': str(wait_ms)},
+            headers=headers(HOST, wait_ms),
         ) as response:
             received = await response.read()
             fields = orjson.loads(received) if received else {}
--- a/src/limpetlanding/soak/process.py
+++ b/src/limpetlanding/soak/process.py
@@ -71,11 +71,7 @@
             await asyncio.sleep(RESTART_S)
 
     def is_ready(self) -> bool:
-        """Tell whether the program has said that it has started.
-
-        Before that a signal ends it, as it does on the platform, which sends
-        none so early.
-        """
+        """Tell whether the program runs and has said that it has started."""
         if self.process is None or self.process.returncode is not None:
             return False
         return b'started' in self.output_path.read_bytes()[self.output_from :]
--- a/src/limpetlanding/soak/system.py
+++ b/src/limpetlanding/soak/system.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from itertools import chain
 from pathlib import Path
 
@@ -11,9 +11,16 @@
 from aiohttp import web
 
 from limpetlanding.platform.store import CONFIG_KEY, CONFIG_TOPIC
-from limpetlanding.soak.process import GRACE_S, Process
+from limpetlanding.soak.process import Process
 from limpetlanding.soak.proxy import Proxy
 from limpetlanding.standin import platform_checks
+from limpetlanding.standin.platform_bodies import (
+    announce,
+    configuration,
+    headers,
+    process_settings,
+    submission,
+)
 from limpetlanding.standin.platform_executor import StandinExecutor
 from limpetlanding.standin.platform_store import StandinStore
 
@@ -28,6 +35,7 @@
 READINESS_PORT = 7500
 LINK_PORT = 7720
 HEARTBEAT_S = 1.5
+AGAIN_S = 0.2
 CPU_PER_TASK = 6000
 
 
@@ -92,21 +100,14 @@
     def configure(self) -> None:
         """Publish another version of the configuration."""
         self.version += 1
-        route = {
-            'name': 'quotes',
-            'host': HOST,
-            'pathPrefix': PREFIX,
-            'service': POOL,
-            'maxAttempts': MAX_ATTEMPTS,
-            'stretch': 1.6,
-            'targetLatencyMs': 60 + self.version,
-        }
-        content = {
-            'version': self.version,
-            'routes': [route],
-            'services': [{'name': POOL}],
-            'limits': {'maxBodyBytes': 20_000},
-        }
+        content = configuration(
+            self.version,
+            HOST,
+            PREFIX,
+            POOL,
+            maxAttempts=MAX_ATTEMPTS,
+            targetLatencyMs=60 + self.version,
+        )
         self.store.put(CONFIG_TOPIC, CONFIG_KEY, content)
 
     async def renew_clients(self) -> None:
@@ -128,19 +129,14 @@
         TimeoutError
             If there is no answer within `wait_s`.
         """
-        step = {'count': tasks, 'cpu': CPU_PER_TASK, 'memMb': 64}
-        pipeline = [step | {'estimateMs': 300}]
-        body = {'spec': 'x', 'bestEffort': True, 'pipeline': pipeline}
+        body = submission(tasks, cpu=CPU_PER_TASK, estimateMs=300)
         address = self.proxies[f'clients-{front}'].listen
         async with (
             asyncio.timeout(wait_s),
             self.clients.post(
                 f'http://{address}{PREFIX}{job_id}',
                 data=orjson.dumps(body),
-                headers={
-                    'Host': HOST,
-                    'X-Deadline-Ms': str(int(wait_s * 1000)),
-                },
+                headers=headers(HOST, int(wait_s * 1000)),
             ) as response,
         ):
             return response.status, orjson.loads(await response.read())
@@ -197,18 +193,17 @@
             f'{self._host(4, number + 100 * is_front)}:{STORE_PORT}',
             f'{self._host(3, 0)}:{STORE_PORT}',
         )
+        name = f'{role}-{number}'
         listen = {'control': f'{host}:{CONTROL_PORT}'}
-        settings = {
-            'nodeName': f'{role}-{number}',
-            'ip': host,
-            'zone': f'z{number % 3}',
-            'region': 'r',
-            'listen': listen,
-            'portRange': [LINK_PORT, LINK_PORT + 9],
-            'seeds': [f'{self._host(8, 0)}:{CONTROL_PORT}'],
-            'platform': {'address': store},
-            'bounds': {'graceS': GRACE_S, 'stopGraceMs': 50},
-        }
+        settings = process_settings(
+            name,
+            host,
+            f'z{number % 3}',
+            LINK_PORT,
+            store,
+            listen=listen,
+            seeds=[f'{self._host(8, 0)}:{CONTROL_PORT}'],
+        )
         if is_front:
             listen['front'] = f'{host}:{CLIENT_PORT}'
             listen['readinessAddr'] = f'{host}:{READINESS_PORT}'
@@ -229,7 +224,6 @@
                 f'{self._host(6, number)}:{EXECUTOR_PORT}',
                 f'{self._host(5, number)}:{EXECUTOR_PORT}',
             )
-        name = settings['nodeName']
         self.processes[name] = Process(name, role, settings, self.directory)
 
     def _proxy(self, name: str, listen: str, target: str) -> str:
@@ -240,21 +234,16 @@
         executor = self.executors[number]
         control = f'{self._host(2, number)}:{CONTROL_PORT}'
         while True:
-            path = f'/api/instances/{executor.executor_id}'
-            body = orjson.dumps(executor.announcement())
-            try:
-                async with (
-                    asyncio.timeout(1),
-                    self.session.put(
-                        f'http://{control}{path}', data=body
-                    ) as response,
-                ):
-                    await response.read()
-            except (aiohttp.ClientError, OSError, TimeoutError):
-                # The worker may be down; the executor goes on trying.
-                await asyncio.sleep(0.2)
-                continue
-            await asyncio.sleep(HEARTBEAT_S)
+            status = None
+            with suppress(TimeoutError):
+                async with asyncio.timeout(1):
+                    status = await announce(
+                        self.session,
+                        control,
+                        executor,
+                        executor.announcement(),
+                    )
+            await asyncio.sleep(AGAIN_S if status is None else HEARTBEAT_S)
 
 
 def _new_clients() -> aiohttp.ClientSession:
--- /dev/null
+++ b/src/limpetlanding/standin/platform_bodies.py
@@ -0,0 +1,114 @@
+"""Bodies that the users' platform and its clients send, for tests and soak."""
+
+from typing import Any
+
+import aiohttp
+import orjson
+
+from limpetlanding.standin.platform_executor import StandinExecutor
+
+PORTS_OF_A_MACHINE = 10
+
+
+def configuration(
+    version: int, host: str, prefix: str, pool: str, **changes: Any
+) -> dict[str, Any]:
+    """Return a configuration with one queue.
+
+    Parameters
+    ----------
+    version : int
+        Its version.
+    host, prefix, pool : str
+        Where the queue is found, and who runs its tasks.
+    changes : object
+        Further fields of the queue, by the platform's names.
+    """
+    route = {
+        'name': 'r1',
+        'host': host,
+        'pathPrefix': prefix,
+        'service': pool,
+        'maxAttempts': 2,
+        'stretch': 1.6,
+        'targetLatencyMs': 60,
+    }
+    return {
+        'version': version,
+        'routes': [route | changes],
+        'services': [{'name': pool}],
+        'limits': {'maxBodyBytes': 20_000},
+    }
+
+
+def submission(count: int, **changes: Any) -> dict[str, Any]:
+    """Return a best-effort job with one step of `count` tasks."""
+    step = {'count': count, 'cpu': 3000, 'memMb': 64, 'estimateMs': 100}
+    return {'spec': 'x', 'bestEffort': True, 'pipeline': [step | changes]}
+
+
+def headers(host: str, wait_ms: int) -> dict[str, str]:
+    """Return the headers of a client that waits `wait_ms` milliseconds."""
+    return {'Host': host, 'X-Deadline-Ms': str(wait_ms)}
+
+
+def process_settings(
+    name: str,
+    host: str,
+    failure_domain: str,
+    first_port: int,
+    store: str,
+    **changes: Any,
+) -> dict[str, Any]:
+    """Return the content of a settings file.
+
+    Parameters
+    ----------
+    name, host, failure_domain : str
+        The machine.
+    first_port : int
+        First of the ports for links.
+    store : str
+        Address of the store.
+    changes : object
+        Further fields, by the platform's names.
+    """
+    return {
+        'nodeName': name,
+        'ip': host,
+        'zone': failure_domain,
+        'region': 'r',
+        'portRange': [first_port, first_port + PORTS_OF_A_MACHINE - 1],
+        'platform': {'address': store},
+        'bounds': {'graceS': 6, 'stopGraceMs': 50},
+        **changes,
+    }
+
+
+async def announce(
+    session: aiohttp.ClientSession,
+    control: str,
+    executor: StandinExecutor,
+    fields: dict[str, Any],
+) -> int | None:
+    """Send one heartbeat of an executor; return the status, if any.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Connections.
+    control : str
+        ``host:port`` at which the worker awaits it.
+    executor : StandinExecutor
+        The executor.
+    fields : dict
+        What it says of itself.
+    """
+    url = f'http://{control}/api/instances/{executor.executor_id}'
+    try:
+        async with session.put(url, data=orjson.dumps(fields)) as response:
+            await response.read()
+            return response.status
+    except (aiohttp.ClientError, OSError):
+        # The worker may be down; the executor goes on trying.
+        return None
