Serve, listen for signals, and find linked peers in one place each

The platform's processes, the rig of the tests and the soak each had their own way to serve an application for the length of a block; the processes had their own handling of stop signals beside that of startup; and fronts and workers listed linked peers four times, which agent/peers.py could do already. Now: lifecycle/serving.py, lifecycle/signals.py (moved from startup), Node.connected, and CatalogHolder.take for what a peer says of the configuration. A worker built each report twice when it was sent at once; the end of a job searched all runs of the front instead of its own. Behaviour is the same.

--- a/src/limpetlanding/agent/peers.py
+++ b/src/limpetlanding/agent/peers.py
@@ -1,7 +1,6 @@
 """How an agent reaches entries and other agents through its node."""
 
 import asyncio
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -46,17 +45,9 @@
         for address in self.entries:
             self.node.keep_dialing(address)
 
-    def connected(self, role: str) -> Iterator[Channel]:
-        """Yield the channels of peers of a role that have a link."""
-        return (
-            channel
-            for channel in self.node.channels
-            if channel.peer.role == role and channel.links
-        )
-
     def responsive(self, role: str) -> list[Channel]:
         """Return the channels of peers of a role that are not suspect."""
-        return [x for x in self.connected(role) if not x.suspect]
+        return [x for x in self.node.connected(role) if not x.suspect]
 
     def members(self, message: Members) -> None:
         """Dial the entries of the own region that an entry named."""
--- a/src/limpetlanding/agent/role.py
+++ b/src/limpetlanding/agent/role.py
@@ -136,7 +136,7 @@
         )
         self.reporter = LoadReporter(
             self._load,
-            lambda: self.peers.connected('entry'),
+            lambda: self.node.connected('entry'),
             settings.load_report_ms / 1000,
         )
         self.core.executor.on_load = self.reporter.notice
@@ -260,7 +260,7 @@
         )
 
     def _tell_entries(self, message: Any) -> None:
-        for channel in self.peers.connected('entry'):
+        for channel in self.node.connected('entry'):
             channel.notify(message)
 
     async def _tick(self) -> None:
@@ -291,7 +291,7 @@
     def _missing(self) -> str:
         if self.lifecycle.state != ProcessState.READY:
             return str(self.lifecycle.state)
-        if not any(self.peers.connected('entry')):
+        if not any(self.node.connected('entry')):
             return 'no entry is connected'
         return '' if self.replica.loaded() else 'no configuration'
 
--- /dev/null
+++ b/src/limpetlanding/lifecycle/signals.py
@@ -0,0 +1,28 @@
+"""Signals that a process acts on."""
+
+import asyncio
+import signal
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+@contextmanager
+def stop_on_signals(stop: Callable[[], None]) -> Iterator[None]:
+    """Call `stop` on SIGTERM and SIGINT within the block."""
+    with ExitStack() as stack:
+        for number in STOP_SIGNALS:
+            stack.enter_context(on_signal(number, stop))
+        yield
+
+
+@contextmanager
+def on_signal(number: int, act: Callable[[], None]) -> Iterator[None]:
+    """Call `act` on a signal within the block."""
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(number, act)
+    try:
+        yield
+    finally:
+        loop.remove_signal_handler(number)
--- a/src/limpetlanding/platform/roles.py
+++ b/src/limpetlanding/platform/roles.py
@@ -20,6 +20,12 @@
 from loguru import logger
 
 from limpetlanding.jobs import new_incarnation
+from limpetlanding.lifecycle.serving import served
+from limpetlanding.lifecycle.signals import (
+    STOP_SIGNALS,
+    on_signal,
+    stop_on_signals,
+)
 from limpetlanding.platform.control import control_app
 from limpetlanding.platform.executor import ExecutorClient
 from limpetlanding.platform.ingress import client_app, readiness_app
@@ -67,6 +73,10 @@
 BALANCER_S = 2.5
 """The load balancer takes a front out after two missed checks, one a second."""
 
+SHUTDOWN_S = 0.2
+"""Time for requests in progress once a listener closes; jobs are answered
+before."""
+
 METRICS_PORT = 9464
 """Port of metrics and status, as `deploy/system.toml` tells the platform."""
 
@@ -88,8 +98,10 @@
         await node.start()
         async with (
             _running(front.run()),
-            _served(readiness_app(front), settings.readiness_address),
-            _served(client_app(front), settings.client_address),
+            served(
+                readiness_app(front), settings.readiness_address, SHUTDOWN_S
+            ),
+            served(client_app(front), settings.client_address, SHUTDOWN_S),
             _running(_follow_settings(lambda x: front.use_seeds(x.seeds))),
             _metrics_served(
                 settings,
@@ -125,7 +137,7 @@
         dial(settings)
         await node.start()
         async with (
-            _served(control_app(worker), settings.control_address),
+            served(control_app(worker), settings.control_address, SHUTDOWN_S),
             _running(worker.run()),
             _running(registration.run()),
             _running(_follow_settings(dial)),
@@ -187,23 +199,6 @@
         await client.close()
 
 
-@asynccontextmanager
-async def _served(app: web.Application, address: str) -> AsyncIterator[None]:
-    host, _, port = address.rpartition(':')
-    runner = web.AppRunner(
-        app, access_log=None, handler_cancellation=True, shutdown_timeout=0.2
-    )
-    await runner.setup()
-    server = await asyncio.get_running_loop().create_server(
-        runner.server, host, int(port), backlog=1024
-    )
-    try:
-        yield
-    finally:
-        server.close()
-        await runner.cleanup()
-
-
 def _metrics() -> ModuleType:
     """Return the module of metrics, which takes 0.1 s to load.
 
@@ -225,7 +220,7 @@
     host = settings.address.rpartition(':')[0]
     app = web.Application()
     add_service_routes(app, missing, status, stop, create())
-    async with _served(app, f'{host}:{METRICS_PORT}'):
+    async with served(app, f'{host}:{METRICS_PORT}', SHUTDOWN_S):
         yield
 
 
@@ -241,24 +236,12 @@
 
 
 async def _terminated(stop: asyncio.Event) -> None:
-    with (
-        _on_signal(signal.SIGTERM, stop.set),
-        _on_signal(signal.SIGINT, stop.set),
-    ):
+    with stop_on_signals(stop.set):
         await stop.wait()
-    logger.bind(step='stop').info('asked to stop')
-
-
-@contextmanager
-def _on_signal(number: int, act: Callable[[], None]) -> Iterator[None]:
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(number, act)
-    try:
-        yield
-    finally:
-        loop.remove_signal_handler(number)
-        # Another signal must not cut short what is being finished.
+    # Another signal must not cut short what is being finished.
+    for number in STOP_SIGNALS:
         signal.signal(number, signal.SIG_IGN)
+    logger.bind(step='stop').info('asked to stop')
 
 
 async def _finish_jobs(front: Front) -> None:
@@ -285,7 +268,7 @@
     path = settings_path()
     asked = asyncio.Event()
     applied = _modified(path)
-    with _on_signal(signal.SIGHUP, asked.set):
+    with _reload_signal(asked.set):
         while True:
             with suppress(TimeoutError):
                 async with asyncio.timeout(SETTINGS_INTERVAL_S):
@@ -297,6 +280,16 @@
                 _apply_settings(path, apply)
 
 
+@contextmanager
+def _reload_signal(ask: Callable[[], None]) -> Iterator[None]:
+    try:
+        with on_signal(signal.SIGHUP, ask):
+            yield
+    finally:
+        # The default would end the process, which may still be stopping.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def _modified(path: Path) -> int:
     try:
         return path.stat().st_mtime_ns
--- a/src/limpetlanding/platform/tests/rig.py
+++ b/src/limpetlanding/platform/tests/rig.py
@@ -7,8 +7,8 @@
 
 import aiohttp
 import orjson
-from aiohttp import web
 
+from limpetlanding.lifecycle.serving import served
 from limpetlanding.platform.control import control_app
 from limpetlanding.platform.executor import ExecutorClient
 from limpetlanding.platform.ingress import client_app, readiness_app
@@ -46,20 +46,9 @@
     return submission(count, **changes)
 
 
-@asynccontextmanager
-async def serve(app, port):
+def serve(app, port):
     """Serve an application at a port of the loop."""
-    runner = web.AppRunner(
-        app, access_log=None, handler_cancellation=True, shutdown_timeout=0
-    )
-    await runner.setup()
-    loop = asyncio.get_running_loop()
-    server = await loop.create_server(runner.server, '127.0.0.1', port)
-    try:
-        yield
-    finally:
-        server.close()
-        await runner.cleanup()
+    return served(app, f'127.0.0.1:{port}', 0)
 
 
 @asynccontextmanager
--- a/src/limpetlanding/runs/catalog.py
+++ b/src/limpetlanding/runs/catalog.py
@@ -51,6 +51,11 @@
         self.on_change(catalog)
         return True
 
+    def take(self, update: CatalogUpdate, source: str) -> None:
+        """Take what a peer says; it is decoded only if it is newer."""
+        if update.version > self.version:
+            self.offer(decode_catalog(update), source)
+
     def update(self) -> CatalogUpdate:
         """Return the message that carries the configuration to a peer."""
         return CatalogUpdate(
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -279,13 +279,10 @@
         active.waiting.clear()
         if not active.outcome.done():
             active.outcome.cancel()
-        by_view: dict[WorkerView, list[str]] = defaultdict(list)
         for view in self.fleet.views.values():
-            for key, task in view.runs.items():
-                if task.job is active:
-                    by_view[view].append(key)
-        for view, keys in by_view.items():
-            self.background.spawn(self._stop(view, keys, why))
+            keys = [x.key for x in active.placed.values() if x.key in view.runs]
+            if keys:
+                self.background.spawn(self._stop(view, keys, why))
 
     def _note_answer(self, active: ActiveJob, answer: str) -> None:
         now = self.loop.time()
--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from limpetlanding.runs.backoff import follow
-from limpetlanding.runs.catalog import CatalogHolder, decode_catalog
+from limpetlanding.runs.catalog import CatalogHolder
 from limpetlanding.runs.dispatcher import Dispatcher
 from limpetlanding.runs.fleet import Fleet
 from limpetlanding.runs.jobs import objective_s
@@ -152,14 +152,12 @@
         ).info('job cancelled')
         if not is_here and not is_known:
             # Not all fronts are linked with each other, so it is passed on.
-            for channel in self.node.channels:
-                if channel.links and channel.peer.role == 'front':
-                    channel.notify(JobCancelled(job_id))
+            for channel in self.node.connected('front'):
+                channel.notify(JobCancelled(job_id))
         return is_here
 
     def _take_update(self, channel: Channel, update: CatalogUpdate) -> None:
-        if update.version > self.catalogs.version:
-            self.catalogs.offer(decode_catalog(update), channel.peer.node)
+        self.catalogs.take(update, channel.peer.node)
 
     def _take_known(self, _channel: Channel, known: KnownWorkers) -> None:
         self._dial(known.addresses)
@@ -186,9 +184,8 @@
 
     def _relay(self, _catalog: Catalog) -> None:
         update = self.catalogs.update()
-        for channel in self.node.channels:
-            if channel.links:
-                channel.notify(update)
+        for channel in self.node.connected():
+            channel.notify(update)
 
     def _peer_up(self, channel: Channel) -> None:
         if self.catalogs.version:
--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -11,7 +11,7 @@
 
 from limpetlanding.errors import LimpetlandingError
 from limpetlanding.runs.background import Background
-from limpetlanding.runs.catalog import CatalogHolder, decode_catalog
+from limpetlanding.runs.catalog import CatalogHolder
 from limpetlanding.runs.held import HeldRun, RunResult
 from limpetlanding.runs.keeper import STOP_S, RunKeeper
 from limpetlanding.runs.model import Catalog, Room, RunEnd
@@ -170,9 +170,7 @@
         if isinstance(message, HeldRuns):
             return self._reconcile(channel, message)
         if isinstance(message, CatalogUpdate):
-            if message.version > self.catalogs.version:
-                self.catalogs.offer(decode_catalog(message), channel.peer.node)
-            return None
+            self.catalogs.take(message, channel.peer.node)
         return None
 
     def _start(self, channel: Channel, message: StartRuns) -> RunsTaken:
@@ -189,9 +187,9 @@
                 reason = refusal
             else:
                 taken.append(order.task)
-                held = _held(owner, message, order)
-                held.ordered_at = self.keeper.now()
-                self.keeper.start(held)
+                self.keeper.start(
+                    _held(owner, message, order, self.keeper.now())
+                )
         if reason:
             logger.bind(
                 request_id=message.job_id,
@@ -309,35 +307,31 @@
 
     def _report_if_due(self) -> None:
         self.report_due = False
-        due = self.reported_at + len(self._fronts()) / REPORTS_PER_S
-        is_urgent = _urgent_part(self.report()) != self.reported_state
+        report = self.report()
+        due = (
+            self.reported_at + len(self.node.connected('front')) / REPORTS_PER_S
+        )
+        is_urgent = _urgent_part(report) != self.reported_state
         if is_urgent or self.loop.time() >= due:
-            self._send_report()
+            self._send_report(report)
         elif self.report_timer is None:
-            self.report_timer = self.loop.call_at(due, self._send_report)
+            self.report_timer = self.loop.call_at(
+                due, lambda: self._send_report(self.report())
+            )
 
-    def _send_report(self) -> None:
+    def _send_report(self, report: WorkerReport) -> None:
         if self.report_timer is not None:
             self.report_timer.cancel()
             self.report_timer = None
-        report = self.report()
         self.reported_at = self.loop.time()
         self.reported_state = _urgent_part(report)
-        for channel in self._fronts():
+        for channel in self.node.connected('front'):
             channel.notify(report)
 
-    def _fronts(self) -> list[Channel]:
-        return [
-            channel
-            for channel in self.node.channels
-            if channel.links and channel.peer.role == 'front'
-        ]
-
     def _relay(self, _catalog: Catalog) -> None:
         update = self.catalogs.update()
-        for channel in self.node.channels:
-            if channel.links:
-                channel.notify(update)
+        for channel in self.node.connected():
+            channel.notify(update)
 
     def _peer_up(self, channel: Channel) -> None:
         if channel.peer.role != 'front':
@@ -369,7 +363,9 @@
     return Room(order.cpu, order.memory_mb, order.gpu)
 
 
-def _held(owner: str, message: StartRuns, order: RunOrder) -> HeldRun:
+def _held(
+    owner: str, message: StartRuns, order: RunOrder, now: float
+) -> HeldRun:
     return HeldRun(
         owner,
         message.job_id,
@@ -379,6 +375,7 @@
         message.spec,
         order.checkpoint,
         order.estimate_ms,
+        now,
     )
 
 
--- a/src/limpetlanding/soak/system.py
+++ b/src/limpetlanding/soak/system.py
@@ -8,8 +8,8 @@
 
 import aiohttp
 import orjson
-from aiohttp import web
 
+from limpetlanding.lifecycle.serving import served
 from limpetlanding.platform.store import CONFIG_KEY, CONFIG_TOPIC
 from limpetlanding.soak.process import Process
 from limpetlanding.soak.proxy import Proxy
@@ -36,6 +36,7 @@
 LINK_PORT = 7720
 HEARTBEAT_S = 1.5
 AGAIN_S = 0.2
+SHUTDOWN_S = 0.1
 CPU_PER_TASK = 6000
 
 
@@ -80,11 +81,13 @@
             self.clients = _new_clients()
             stack.push_async_callback(self.close_clients)
             store = f'{self._host(3, 0)}:{STORE_PORT}'
-            await stack.enter_async_context(_served(self.store.app(), store))
+            await stack.enter_async_context(
+                served(self.store.app(), store, SHUTDOWN_S)
+            )
             for number, executor in enumerate(self.executors):
                 address = f'{self._host(5, number)}:{EXECUTOR_PORT}'
                 await stack.enter_async_context(
-                    _served(executor.app(), address)
+                    served(executor.app(), address, SHUTDOWN_S)
                 )
                 beating = asyncio.create_task(self._beat(number))
                 stack.callback(beating.cancel)
@@ -248,17 +251,3 @@
 
 def _new_clients() -> aiohttp.ClientSession:
     return aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
-
-
-@asynccontextmanager
-async def _served(app: web.Application, address: str) -> AsyncIterator[None]:
-    runner = web.AppRunner(
-        app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
-    )
-    await runner.setup()
-    host, _, port = address.rpartition(':')
-    await web.TCPSite(runner, host, int(port)).start()
-    try:
-        yield
-    finally:
-        await runner.cleanup()
--- a/src/limpetlanding/startup/__init__.py
+++ b/src/limpetlanding/startup/__init__.py
@@ -1,12 +1,12 @@
 """What the roles do alike when they start, run and stop."""
 
+from limpetlanding.lifecycle.signals import stop_on_signals
 from limpetlanding.startup.identity import new_hello
 from limpetlanding.startup.listener import HttpListener, listen_http
 from limpetlanding.startup.logs import telemetry
 from limpetlanding.startup.metrics import process_metrics
 from limpetlanding.startup.node import node_options
 from limpetlanding.startup.replica import Replica
-from limpetlanding.startup.signals import stop_on_signals
 from limpetlanding.startup.status import identity_status, wire_status
 from limpetlanding.startup.tls import client_tls, http_tls, server_tls
 
--- a/src/limpetlanding/wire/node.py
+++ b/src/limpetlanding/wire/node.py
@@ -84,6 +84,14 @@
         """Channels of all peers that are not known to be gone."""
         return list(self.peers.channels.values())
 
+    def connected(self, role: str = '') -> list[Channel]:
+        """Return the channels that have a link, of one role if it is given."""
+        return [
+            channel
+            for channel in self.channels
+            if channel.links and role in {'', channel.peer.role}
+        ]
+
     @property
     def at_address(self) -> dict[str, Channel]:
         """Latest incarnation seen at each address."""
