Link each front to a subset of the workers, and let idle links beat slowly

Cause: every front dialed every worker, and each link carried a heartbeat every 0.15 s in both directions.

Change: a front chooses 32 workers by rendezvous hashing, half of them in its own failure domain. A worker without a link for a second is replaced, a returning one takes its place again, and a front whose tasks find no room takes up to 64. A worker dials the seeds only while fewer than two fronts are linked to it. Both ends of a link without requests and runs announce intervals four times as long; a request ends that at once, so that a silent peer shows as soon as before. All links share one detector of suspensions, because an idle link has no frequent timer. A link that is not needed is closed with a farewell, after which neither end dials the other on its own.

--- a/src/limpetlanding/platform/roles.py
+++ b/src/limpetlanding/platform/roles.py
@@ -56,6 +56,7 @@
     digest_s=2,
     silence_s=0.45,
     suspect_s=0.35,
+    idle_slowdown=4,
     down_s=0.3,
     hello_s=0.5,
     redial_min_s=0.05,
@@ -64,8 +65,10 @@
 )
 """A worker declares a front lost 0.75 s after its last message, so that the
 front's runs have ended before a client resubmits its job, 1.3 s after its
-connection broke. An order that waited for longer than 1 s while its worker was
-suspended is stale: the front may have given the task to another worker."""
+connection broke. Links without runs or orders may be four times as slow: an
+order that is not answered within 0.35 s shows a lost worker there. An order
+that waited for longer than 1 s while its worker was suspended is stale: the
+front may have given the task to another worker."""
 
 SETTINGS_POLL_INTERVAL_S = 1
 """Interval of checks whether the settings file has changed without a SIGHUP."""
@@ -140,8 +143,7 @@
         registration = Registration(
             worker, store, port, settings.pool, SystemRandom()
         )
-        dial = _dial_seeds(node)
-        dial(settings)
+        worker.seed_links.add(settings.seeds)
         await node.start()
         async with (
             run_http_server(
@@ -151,7 +153,9 @@
             ),
             _background_task(worker.run()),
             _background_task(registration.run()),
-            _background_task(_follow_settings(dial)),
+            _background_task(
+                _follow_settings(lambda x: worker.seed_links.add(x.seeds))
+            ),
             _metrics_served(
                 settings,
                 lambda: '' if worker.supervisor.reachable else 'no executor',
@@ -187,6 +191,7 @@
         settings.address,
         settings.client_address,
         settings.region,
+        slow_heartbeats=True,
     )
     node = Node(
         hello, _no_handler, NodeOptions(timing=LINK_TIMING, clock=_boottime_s)
@@ -272,17 +277,6 @@
         await asyncio.sleep(0.05)
 
 
-def _dial_seeds(node: Node) -> Callable[[ProcessSettings], None]:
-    known: set[str] = set()
-
-    def dial(settings: ProcessSettings) -> None:
-        for address in set(settings.seeds) - known:
-            known.add(address)
-            node.keep_dialing(address)
-
-    return dial
-
-
 async def _follow_settings(apply: Callable[[ProcessSettings], None]) -> None:
     path = settings_path()
     reload_requested = asyncio.Event()
--- a/src/limpetlanding/platform/store.py
+++ b/src/limpetlanding/platform/store.py
@@ -69,6 +69,7 @@
             {
                 'address': record.address,
                 'capacity': record.capacity and asdict(record.capacity),
+                'failure_domain': record.failure_domain,
             }
         )
         await self._call(
@@ -198,7 +199,9 @@
     try:
         fields = orjson.loads(value)
         capacity = fields['capacity'] and Resources(**fields['capacity'])
-        return WorkerRecord(name, fields['address'], capacity)
+        return WorkerRecord(
+            name, fields['address'], capacity, fields.get('failure_domain', '')
+        )
     except (ValueError, LookupError, TypeError) as error:
         logger.bind(step='members', peer=name).error(
             'record of the worker ignored: {!r}', error
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
+from math import inf
 
 from loguru import logger
 
@@ -56,6 +57,9 @@
 worker is suspended at that moment, the lease at its executor expires, whose
 clock may be 2% slow."""
 
+SHORTAGE_MEMORY_S = 1
+"""Time after which a task that found no room does not count any more."""
+
 ENDED_JOB_RETENTION_S = 30
 """How long the run numbers of an ended job, and the ids of cancelled jobs, are
 kept for resubmissions."""
@@ -92,6 +96,7 @@
         self.ended_jobs: dict[str, ActiveJob] = {}
         self.cancelled: set[str] = set()
         self.placement_needed = asyncio.Event()
+        self.shortage_at = -inf
         self.lost_at: dict[Channel, float] = {}
         self.background = BackgroundTasks()
         self.counts: Counter[str] = Counter()
@@ -200,6 +205,20 @@
         self.fleet.update(channel, report, self.loop.time())
         self.placement_needed.set()
 
+    def has_runs_at(self, channel: Channel) -> bool:
+        """Tell whether this front assumes runs at a worker."""
+        view = self.fleet.views.get(channel)
+        return view is not None and bool(view.runs)
+
+    def has_shortage(self, now: float) -> bool:
+        """Tell whether tasks have recently waited for want of room."""
+        return now - self.shortage_at < SHORTAGE_MEMORY_S
+
+    def forget_worker(self, channel: Channel) -> None:
+        """Remove a worker without runs that this front has released."""
+        self.lost_at.pop(channel, None)
+        self.fleet.views.pop(channel, None)
+
     def worker_connected(self, channel: Channel) -> None:
         """Reconcile the runs at a worker that has connected again."""
         self.lost_at.pop(channel, None)
@@ -335,6 +354,8 @@
         for active in jobs:
             chosen, left = pools[active.queue.pool].assign(active, now)
             active.waiting = left
+            if left:
+                self.shortage_at = now
             self._send_orders(active, chosen)
 
     def _send_orders(self, active: ActiveJob, chosen: Assignment) -> None:
--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
+from itertools import zip_longest
 from math import inf
 from random import Random
 from typing import Any
@@ -15,6 +17,7 @@
 from limpetlanding.runs.jobs import objective_s
 from limpetlanding.runs.model import Catalog, Job, Queue
 from limpetlanding.runs.ports import StorePort, WorkerRecord
+from limpetlanding.runs.subset import Candidate, WorkerSubset
 from limpetlanding.wire import Channel, Node
 from limpetlanding.wire.run_messages import (
     CatalogUpdate,
@@ -29,6 +32,9 @@
 report each second."""
 
 
+SUBSET_INTERVAL_S = 0.5
+"""Interval of checks whether the subset of workers has to change."""
+
 LATE_JOB_FACTOR = 2
 """Most jobs that miss their objective end within this multiple of it."""
 
@@ -58,7 +64,10 @@
         self.catalogs = CatalogHolder(self._broadcast_catalog)
         self.fleet = Fleet(node.hello.failure_domain)
         self.dispatcher = Dispatcher(self.fleet)
-        self.addresses: set[str] = set()
+        self.subset = WorkerSubset(node.hello.node, node.hello.failure_domain)
+        self.subset_outdated = asyncio.Event()
+        # Address of each worker according to its record.
+        self.recorded: dict[str, str] = {}
         self.seeds: set[str] = set()
         # When the remaining jobs are abandoned, in monotonic seconds.
         self.stop_deadline = inf
@@ -85,6 +94,7 @@
         """Follow the store and assign tasks until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self.dispatcher.run())
+            group.create_task(self._maintain_subset())
             group.create_task(
                 follow_stream(
                     'configuration',
@@ -95,7 +105,7 @@
             )
             group.create_task(
                 follow_stream(
-                    'workers', self.store.workers, self._dial_workers, self.rng
+                    'workers', self.store.workers, self._add_records, self.rng
                 )
             )
 
@@ -165,7 +175,10 @@
     def _handle_known_workers(
         self, _channel: Channel, known: KnownWorkers
     ) -> None:
-        self._dial(known.addresses)
+        for address, domain in zip_longest(
+            known.addresses, known.failure_domains, fillvalue=''
+        ):
+            self._add_worker(address, domain)
 
     def _handle_job_cancelled(
         self, channel: Channel, message: JobCancelled
@@ -175,19 +188,62 @@
     def _apply_catalog(self, catalog: Catalog) -> None:
         self.catalogs.replace_if_newer(catalog, 'store')
 
-    def _dial_workers(self, records: list[WorkerRecord]) -> None:
-        self._dial([record.address for record in records])
+    def _add_records(self, records: list[WorkerRecord]) -> None:
+        for record in records:
+            previous = self.recorded.get(record.name, record.address)
+            self.recorded[record.name] = record.address
+            if previous != record.address:
+                self.subset.forget(previous)
+            self._add_worker(record.address, record.failure_domain)
 
-    def _dial(self, addresses: list[str]) -> None:
-        new = set(addresses) - self.addresses
-        if not new:
-            return
-        self.addresses |= new
-        logger.bind(step='members', new=sorted(new)[:5]).info(
-            'dialing {} more workers', len(new)
+    def _add_worker(self, address: str, failure_domain: str) -> bool:
+        is_new = bool(address) and self.subset.add(address, failure_domain)
+        if is_new:
+            self.subset_outdated.set()
+        return is_new
+
+    async def _maintain_subset(self) -> None:
+        while True:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(SUBSET_INTERVAL_S):
+                    await self.subset_outdated.wait()
+            self.subset_outdated.clear()
+            self._update_subset()
+
+    def _update_subset(self) -> None:
+        now = self.loop.time()
+        channels = {x.peer.address: x for x in self.node.connected('worker')}
+        change = self.subset.update(
+            now, channels, self.dispatcher.has_shortage(now)
         )
-        for address in sorted(new):
+        released = [x for x in change.release if self._release_worker(x)]
+        for address in change.dial:
             self.node.keep_dialing(address)
+        if change.dial or released:
+            logger.bind(
+                step='members',
+                known=len(self.subset.candidates),
+                linked=len(channels),
+                size=self.subset.size,
+                dialed=change.dial[:5],
+                released=released[:5],
+            ).info(
+                'subset changed: {} workers dialed, {} released',
+                len(change.dial),
+                len(released),
+            )
+
+    def _release_worker(self, address: str) -> bool:
+        channel = self.node.peers.newest_at(address)
+        if channel is None:
+            self.node.stop_dialing(address)
+        elif channel.is_idle:
+            self.node.release(channel)
+            self.dispatcher.forget_worker(channel)
+        else:
+            return False
+        self.subset.released(address)
+        return True
 
     def _broadcast_catalog(self, _catalog: Catalog) -> None:
         update = self.catalogs.update_message()
@@ -198,11 +254,27 @@
         if self.catalogs.version:
             channel.notify(self.catalogs.update_message())
         if channel.peer.role == 'front':
-            channel.notify(KnownWorkers(sorted(self.addresses)))
+            channel.notify(
+                _known_workers(list(self.subset.candidates.values()))
+            )
             return
-        self.addresses.add(channel.peer.address)
+        channel.has_work = lambda: self.dispatcher.has_runs_at(channel)
         self.dispatcher.worker_connected(channel)
+        self.subset_outdated.set()
+        peer = channel.peer
+        if self._add_worker(peer.address, peer.failure_domain):
+            # The worker has dialed a seed, because the fronts did not know it.
+            known = KnownWorkers([peer.address], [peer.failure_domain])
+            for front in self.node.connected('front'):
+                front.notify(known)
 
     def _peer_down(self, channel: Channel) -> None:
         if channel.peer.role != 'front':
             self.dispatcher.worker_disconnected(channel)
+
+
+def _known_workers(candidates: list[Candidate]) -> KnownWorkers:
+    return KnownWorkers(
+        [candidate.address for candidate in candidates],
+        [candidate.failure_domain for candidate in candidates],
+    )
--- a/src/limpetlanding/runs/ports.py
+++ b/src/limpetlanding/runs/ports.py
@@ -185,11 +185,14 @@
     capacity : Resources or None
         Capacity of its executor, which does not change on one machine; None
         if no executor has announced itself yet.
+    failure_domain : str
+        Failure domain of the machine; empty if the record does not state it.
     """
 
     name: str
     address: str
     capacity: Resources | None = None
+    failure_domain: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/limpetlanding/runs/registration.py
+++ b/src/limpetlanding/runs/registration.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from dataclasses import replace
 from random import Random
 
 from loguru import logger
@@ -78,8 +79,11 @@
     async def _maintain_record(self) -> None:
         hello = self.worker.node.hello
         record = await self.store.worker(hello.node)
+        current = WorkerRecord(
+            hello.node, hello.address, failure_domain=hello.failure_domain
+        )
         if record is None or record.address != hello.address:
-            record = WorkerRecord(hello.node, hello.address)
+            record = current
             await self.store.register_worker(record)
         elif record.capacity is not None and self.pool:
             await self._use_recorded_capacity(record.capacity)
@@ -88,7 +92,7 @@
             self.announced.clear()
             capacity = self.worker.supervisor.capacity
             if capacity not in {Resources(), record.capacity}:
-                record = WorkerRecord(hello.node, hello.address, capacity)
+                record = replace(current, capacity=capacity)
                 await self.store.register_worker(record)
 
     async def _use_recorded_capacity(self, capacity: Resources) -> None:
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -225,6 +225,10 @@
             self.stop(held)
         return len(owned)
 
+    def has_runs_of(self, owner: str) -> bool:
+        """Tell whether a front has runs here."""
+        return any(run.owner == owner for run in self.runs.values())
+
     def call_target(self) -> CallTarget:
         """Return the current executor with the token of this process."""
         return CallTarget(self.executor.executor_id, self.fence)
--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -14,6 +14,7 @@
 from limpetlanding.runs.catalog import CatalogHolder
 from limpetlanding.runs.model import Catalog, Resources, RunEnd
 from limpetlanding.runs.ports import Executor, ExecutorPort
+from limpetlanding.runs.seed_links import SeedLinks
 from limpetlanding.runs.supervisor import DEFAULT_STOP_DURATION_S, RunSupervisor
 from limpetlanding.runs.tracked_run import RunResult, TrackedRun
 from limpetlanding.wire import Channel, Node
@@ -97,6 +98,7 @@
         # Called with labels and the run time in seconds when a run has ended.
         self.on_run: Callable[[dict[str, str], float], None] = _ignore_run
         self.background = BackgroundTasks()
+        self.seed_links = SeedLinks(node)
         node.handler = self.handle
         node.on_peer_up = self._peer_up
         node.on_peer_down = self._peer_down
@@ -124,10 +126,11 @@
         self.supervisor.handle_departure(executor_id)
 
     async def run(self) -> None:
-        """Report to the fronts until cancelled."""
+        """Report to the fronts, and keep links to some, until cancelled."""
         while True:
             await asyncio.sleep(REPORT_INTERVAL_S)
             self._schedule_report()
+            self.seed_links.update()
 
     async def drain(self, limit_s: float) -> None:
         """Refuse new runs, and wait for those that are active.
@@ -354,6 +357,9 @@
     def _peer_up(self, channel: Channel) -> None:
         if channel.peer.role != 'front':
             return
+        channel.has_work = lambda: self.supervisor.has_runs_of(
+            channel.peer.incarnation
+        )
         channel.notify(self.report())
         if self.catalogs.version:
             channel.notify(self.catalogs.update_message())
--- a/src/limpetlanding/wire/channel.py
+++ b/src/limpetlanding/wire/channel.py
@@ -22,7 +22,13 @@
 from limpetlanding.wire.codec import Frame, FrameKind, tag_of
 from limpetlanding.wire.counters import Counters
 from limpetlanding.wire.link import Link
-from limpetlanding.wire.messages import Ack, ErrorReply, Heartbeat, Hello
+from limpetlanding.wire.messages import (
+    Ack,
+    ErrorReply,
+    Farewell,
+    Heartbeat,
+    Hello,
+)
 
 # Shortest time between two logged failures of one message type. Formatting a
 # traceback takes 2 ms, so many failures at once could use up the processor.
@@ -104,6 +110,11 @@
         self.lifecycle = Lifecycle(PeerState, peer.node)
         self.link_lost_at: float | None = None
         self.on_heartbeat: Callable[[Channel, int], None] | None = None
+        # Whether the owner of the channel has work at the peer, or the peer
+        # here, so that either must soon notice the loss of the other.
+        self.has_work: Callable[[], bool] = _no_work
+        # One end has said farewell; a lost link is not opened again.
+        self.released = False
         self.pending: dict[int, _PendingRequest] = {}
         self.served_requests: dict[int, _ServedRequest] = {}
         self.notification_tasks: set[asyncio.Task[None]] = set()
@@ -118,8 +129,12 @@
         """Whether the peer has no link or was silent for ``suspect_s``."""
         if not self.links:
             return True
-        last_received = max(link.last_received for link in self.links)
-        return self.loop.time() - last_received > self.suspect_s
+        return all(link.is_silent(self.suspect_s) for link in self.links)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is in progress and there is no other work."""
+        return not (self.pending or self.served_requests or self.has_work())
 
     async def request(self, message: Any, timeout_s: float) -> Any:
         """Send a request and return the reply.
@@ -174,9 +189,11 @@
     def attach(self, link: Link) -> None:
         """Add a link and send the requests that are waiting for one."""
         self.links.append(link)
+        self.released = False
         self.link_lost_at = None
         self.unlinked.clear()
         link.on_writable = self._send_unsent_requests
+        link.is_idle = lambda: self.is_idle
         self._send_unsent_requests()
 
     def detach(self, link: Link) -> None:
@@ -203,6 +220,8 @@
             self._receive_request(link, frame)
         elif isinstance(frame.message, Heartbeat):
             self._receive_heartbeat(frame.message)
+        elif isinstance(frame.message, Farewell):
+            self.released = True
         else:
             self._receive_notification(frame)
 
@@ -346,6 +365,11 @@
         )
 
 
+def _no_work() -> bool:
+    """Return False; used until the owner has set its condition."""
+    return False
+
+
 def _expire(answer: asyncio.Future[Any], step: str, peer: str) -> None:
     if not answer.done():
         answer.set_exception(
--- a/src/limpetlanding/wire/link.py
+++ b/src/limpetlanding/wire/link.py
@@ -26,6 +26,7 @@
     Hello,
 )
 from limpetlanding.wire.options import Timing
+from limpetlanding.wire.suspension import SuspensionMonitor
 
 _READ_BYTES = 64 * 1024
 _MAX_HELLO_BYTES = 16 * 1024
@@ -50,9 +51,8 @@
         Heartbeat intervals and time limits.
     config_digest : callable
         Returns the configuration digest that heartbeats carry.
-    clock : callable, optional
-        Returns a time in seconds that advances while the process is
-        suspended; the time of the event loop if not given.
+    suspensions : SuspensionMonitor
+        Suspensions of this process.
     """
 
     def __init__(
@@ -62,7 +62,7 @@
         counters: Counters,
         timing: Timing,
         config_digest: Callable[[], int],
-        clock: Callable[[], float] | None = None,
+        suspensions: SuspensionMonitor,
     ) -> None:
         self.reader = reader
         self.writer = writer
@@ -70,8 +70,14 @@
         self.timing = timing
         self.config_digest = config_digest
         self.loop = asyncio.get_running_loop()
-        self.clock = clock or self.loop.time
-        self.last_running_at = self.clock()
+        self.suspensions = suspensions
+        self.suspensions_seen = suspensions.check()
+        # Whether the link may have slow heartbeats, and whether it is idle now.
+        self.supports_slowdown = False
+        self.is_idle: Callable[[], bool] = _never
+        # Multiples of the usual intervals that each end has announced.
+        self.own_slowdown: float = 1
+        self.peer_slowdown: float = 1
         self.frames = FrameBuffer(_MAX_HELLO_BYTES)
         self.unsent: list[bytes] = []
         self.unsent_bytes = 0
@@ -80,6 +86,7 @@
         self.last_digest: int | None = None
         self.last_digest_sent = self.loop.time()
         self.tick_due = self.loop.time()
+        self.tick_timer: asyncio.TimerHandle | None = None
         self.on_writable: Callable[[], None] | None = None
         self.writable = asyncio.Event()
         self.writable.set()
@@ -123,6 +130,7 @@
                 step='hello',
                 peer=hello.node,
             )
+        self.supports_slowdown = own.slow_heartbeats and hello.slow_heartbeats
         return hello
 
     async def run(
@@ -170,6 +178,8 @@
             return False
         if kind != FrameKind.REPLY and self.is_congested():
             return False
+        if kind != FrameKind.NOTIFY:
+            self._end_slowdown()
         self.counters.sent.add(tag_of(message), len(frame))
         if not self.unsent:
             self.loop.call_soon(self._flush)
@@ -177,6 +187,18 @@
         self.unsent_bytes += len(frame)
         return True
 
+    def is_silent(self, limit_s: float) -> bool:
+        """Tell whether the peer has been silent for longer than a limit.
+
+        Parameters
+        ----------
+        limit_s : float
+            Limit in seconds at the usual interval of heartbeats; it is longer
+            while the peer announces slow ones.
+        """
+        silent_s = self.loop.time() - self.last_received
+        return silent_s > limit_s * self.peer_slowdown
+
     def is_congested(self) -> bool:
         """Whether so much data is unsent that new frames have to wait."""
         transport_bytes = self.writer.transport.get_write_buffer_size()
@@ -234,14 +256,13 @@
 
         Also records that the process is running now.
         """
-        suspended_s = self.clock() - self.last_running_at
-        self.last_running_at += suspended_s
-        if suspended_s <= self.timing.max_suspension_s:
+        if self.suspensions.check() == self.suspensions_seen:
             return False
         self.counters.events['links_stale'] += 1
-        logger.bind(step='link', still_ms=round(1000 * suspended_s)).info(
-            'link dropped: this process was suspended'
-        )
+        logger.bind(
+            step='link',
+            still_ms=round(1000 * self.suspensions.last_suspension_s),
+        ).info('link dropped: this process was suspended')
         self.abort()
         return True
 
@@ -251,6 +272,10 @@
         try:
             for frame in self.frames.feed(chunk):
                 self.counters.received.add(frame.tag, frame.byte_count)
+                if frame.kind != FrameKind.NOTIFY:
+                    self._end_slowdown()
+                elif isinstance(frame.message, Heartbeat):
+                    self.peer_slowdown = max(frame.message.slowdown, 1)
                 deliver(self, frame)
         except MalformedMessage as error:
             if error.kind == FrameKind.REQUEST:
@@ -301,33 +326,63 @@
             # This process was late itself. That time does not count as
             # silence, because data that arrived meanwhile is not yet read.
             self.last_received = min(now, self.last_received + late_s)
-        idle_s = now - self.last_received
-        if idle_s >= timing.silence_s:
+        silence_s = timing.silence_s * self.peer_slowdown
+        if now - self.last_received >= silence_s:
             self.counters.events['links_silent'] += 1
             self.abort()
             return
         self._send_heartbeat_if_due(now)
+        heartbeat_s = timing.heartbeat_s * self.own_slowdown
         due = min(
-            self.last_sent + timing.heartbeat_s,
-            self.last_received + timing.silence_s,
+            self.last_sent + heartbeat_s,
+            self.last_received + timing.silence_s * self.peer_slowdown,
         )
-        wait_s = min(max(due - now, _MIN_TICK_S), timing.heartbeat_s)
-        self.tick_due = now + wait_s
-        self.loop.call_later(wait_s, self._tick)
+        self._schedule_tick(min(max(due - now, _MIN_TICK_S), heartbeat_s))
+
+    def _schedule_tick(self, wait_s: float) -> None:
+        if self.tick_timer is not None:
+            self.tick_timer.cancel()
+        self.tick_due = self.loop.time() + wait_s
+        self.tick_timer = self.loop.call_later(wait_s, self._tick)
+
+    def _end_slowdown(self) -> None:
+        """Return to the usual intervals, because requests are in progress.
+
+        Both ends do so with each request and reply that they send or receive.
+        """
+        if self.peer_slowdown > 1:
+            # Until now the peer was allowed to be silent for longer.
+            self.last_received = self.loop.time()
+            self.peer_slowdown = 1
+        if self.own_slowdown > 1:
+            self.own_slowdown = 1
+            self._schedule_tick(self.timing.heartbeat_s)
 
     def _send_heartbeat_if_due(self, now: float) -> None:
         digest = self.config_digest()
+        heartbeat_s = self.timing.heartbeat_s * self.own_slowdown
         if (
-            now - self.last_sent >= self.timing.heartbeat_s - _MIN_TICK_S / 2
+            now - self.last_sent >= heartbeat_s - _MIN_TICK_S / 2
             or digest != self.last_digest
             or now - self.last_digest_sent >= self.timing.digest_s
         ):
             self.last_digest = digest
             self.last_digest_sent = now
-            self.send(FrameKind.NOTIFY, 0, Heartbeat(digest))
+            may_slow_down = self.supports_slowdown and self.is_idle()
+            self.own_slowdown = (
+                self.timing.idle_slowdown if may_slow_down else 1
+            )
+            self.send(
+                FrameKind.NOTIFY, 0, Heartbeat(digest, float(self.own_slowdown))
+            )
             self._flush()
 
 
+def _never() -> bool:
+    """Return False; used until the channel has set its condition."""
+    return False
+
+
 def _delayed(
     link: Link, deliver: Callable[[Link, Frame], None], delay_s: float
 ) -> Callable[[Link, Frame], None]:
--- a/src/limpetlanding/wire/messages.py
+++ b/src/limpetlanding/wire/messages.py
@@ -47,6 +47,8 @@
     address: str
     http_address: str
     region: str = ''
+    # Whether the sender understands slow heartbeats and `Farewell`.
+    slow_heartbeats: bool = False
 
 
 @message('hb')
@@ -54,10 +56,22 @@
 class Heartbeat:
     """Notification that keeps an idle link alive.
 
-    ``config_digest`` is the digest of the sender's configuration.
+    ``config_digest`` is the digest of the sender's configuration. ``slowdown``
+    is the multiple of the usual interval after which the next frame of the
+    sender follows at the latest.
     """
 
     config_digest: int = 0
+    slowdown: float = 1.0
+
+
+@message('bye')
+@dataclass(slots=True)
+class Farewell:
+    """Notification that the sender closes the link and needs no other.
+
+    The receiver does not dial the sender again on its own.
+    """
 
 
 @message('error')
--- a/src/limpetlanding/wire/node.py
+++ b/src/limpetlanding/wire/node.py
@@ -1,8 +1,9 @@
 """Node: listener, dialers and channels of one process."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from contextlib import suppress
+from functools import cached_property
 from itertools import count
 from typing import Any
 
@@ -13,9 +14,10 @@
 from limpetlanding.wire.counters import Counters
 from limpetlanding.wire.dialer import Dialer, DialMode
 from limpetlanding.wire.link import Link
-from limpetlanding.wire.messages import Hello
+from limpetlanding.wire.messages import Farewell, Hello
 from limpetlanding.wire.options import NodeOptions
 from limpetlanding.wire.peers import PeerEvents, Peers
+from limpetlanding.wire.suspension import SuspensionMonitor
 
 
 class Node:
@@ -82,6 +84,16 @@
         """
         return self.options.clock or asyncio.get_running_loop().time
 
+    @cached_property
+    def suspensions(self) -> SuspensionMonitor:
+        """Suspensions of this process, watched from the first link on."""
+        timing = self.options.timing
+        monitor = SuspensionMonitor(
+            self.clock, timing.max_suspension_s, timing.heartbeat_s
+        )
+        self._keep_task(monitor.watch())
+        return monitor
+
     @property
     def channels(self) -> list[Channel]:
         """Channels of all peers that are not known to be gone."""
@@ -185,6 +197,23 @@
             # gone.
             dialer.mode = DialMode.RECOVER
 
+    def release(self, channel: Channel) -> None:
+        """Close the links to a peer that this node does not need any more.
+
+        Neither end dials the other again on its own. The caller makes sure
+        that no request is in progress.
+        """
+        dialer = self.all_dialers.get(channel.peer.address)
+        if dialer is not None:
+            dialer.cancel()
+        if not channel.links:
+            self.peers.remove(channel, 'released')
+            return
+        channel.notify(Farewell())
+        channel.released = True
+        for link in channel.links:
+            self._keep_task(link.close())
+
     async def dial(
         self, address: str, incarnation: str = '', timeout_s: float = 5
     ) -> Channel:
@@ -311,7 +340,7 @@
             self.counters,
             self.options.timing,
             lambda: self.config_digest(),
-            self.options.clock,
+            self.suspensions,
         )
         channel = None
         try:
@@ -325,11 +354,14 @@
             if channel is None:
                 link.abort()
         if channel is not None:
-            task = asyncio.create_task(self._run_link(channel, link))
-            self.link_tasks.add(task)
-            task.add_done_callback(self.link_tasks.discard)
+            self._keep_task(self._run_link(channel, link))
         return channel
 
+    def _keep_task(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.link_tasks.add(task)
+        task.add_done_callback(self.link_tasks.discard)
+
     async def _run_link(self, channel: Channel, link: Link) -> None:
         try:
             await link.run(channel.receive, self._delay_s(channel.peer))
--- a/src/limpetlanding/wire/options.py
+++ b/src/limpetlanding/wire/options.py
@@ -23,6 +23,10 @@
     suspect_s : float
         A peer that has sent nothing for this long is suspect and gets no new
         work.
+    idle_slowdown : float
+        Factor by which `heartbeat_s`, `silence_s` and `suspect_s` are longer
+        on an idle link, on which no request is in progress and neither end
+        has work of the other. Both ends have to support it.
     down_s : float
         A peer that has had no link for this long is reported as down. A peer
         without a link whose address has refused connections for this long is
@@ -46,6 +50,7 @@
     digest_s: float = 2
     silence_s: float = 1.5
     suspect_s: float = 1
+    idle_slowdown: float = 1
     down_s: float = 4
     hello_s: float = 1.5
     redial_min_s: float = 0.05
--- a/src/limpetlanding/wire/peers.py
+++ b/src/limpetlanding/wire/peers.py
@@ -113,7 +113,8 @@
         """Remove a lost link from its channel.
 
         After the last link, the peer is declared gone if another incarnation
-        with a link names its address. Otherwise it is reported as down after
+        with a link names its address, and a released channel is removed.
+        Otherwise it is reported as down after
         ``down_s`` and removed after ``forget_s`` unless it has a link again.
         """
         channel.detach(link)
@@ -122,6 +123,9 @@
         if any(self._successors(channel)):
             self.declare_gone(channel)
             return
+        if channel.released:
+            self.remove(channel, 'released')
+            return
         lost_at = channel.link_lost_at
         channel.loop.call_later(
             self.timing.down_s, self._report_down, channel, lost_at
--- a/src/limpetlanding/wire/run_messages.py
+++ b/src/limpetlanding/wire/run_messages.py
@@ -147,6 +147,11 @@
 @message('workers')
 @dataclass(slots=True)
 class KnownWorkers:
-    """Front to front: addresses of the workers that the sender knows."""
+    """Front to front: addresses of the workers that the sender knows.
+
+    ``failure_domains`` has the domain of each address, empty if unknown; it is
+    empty as a whole if the sender does not know any.
+    """
 
     addresses: list[str] = field(default_factory=list)
+    failure_domains: list[str] = field(default_factory=list)
