Start the tasks of a customer by deadline over all kinds

Cause: _FairQueue compared the flows of a customer by their entry number, so that tasks of different kinds started in the order in which the kinds were first queued. Ruled out: the deadline itself, which orders each flow correctly.

Change: the queue chooses the customer by virtual start and then the flow whose first task is due first. Policy tests: all pass.

--- a/src/limpetlanding/policy/queueing.py
+++ b/src/limpetlanding/policy/queueing.py
@@ -311,10 +311,19 @@
 
     def first(self, waiting: dict[Hashable, QueuedTask]) -> float:
         """Return the least value of a waiting task, or infinity."""
+        return self.first_entry(waiting)[0]
+
+    def first_entry(
+        self, waiting: dict[Hashable, QueuedTask]
+    ) -> tuple[float, int]:
+        """Return value and number of the first waiting task.
+
+        The value is infinite if no task waits.
+        """
         entries = self.entries
         while entries and waiting.get(entries[0][2].key) is not entries[0][2]:
             heappop(entries)
-        return entries[0][0] if entries else float('inf')
+        return entries[0][:2] if entries else (float('inf'), 0)
 
     def pop(self) -> QueuedTask:
         return heappop(self.entries)[2]
@@ -398,12 +407,12 @@
         heads = [head for x in allowed if (head := self._head(x))]
         if not heads:
             return None
-        flow = min(heads)[2]
-        flow.tasks.first(waiting)
+        customer = min(heads)[2].customer
+        flow = _most_urgent_flow(customer, allowed, waiting)
         task = flow.tasks.pop()
-        self.virtual_time = flow.customer.start
+        self.virtual_time = customer.start
         cost_ms = max(task.expected_ms, 1) / max(task.weight, _MIN_WEIGHT)
-        flow.customer.start += cost_ms
+        customer.start += cost_ms
         return task
 
     def discard(
@@ -441,6 +450,20 @@
             }
 
 
+def _most_urgent_flow(
+    customer: _Customer,
+    kinds: Container[str],
+    waiting: dict[Hashable, QueuedTask],
+) -> _Flow:
+    """Return the flow of a customer whose first task is due first."""
+    flows = (
+        flow
+        for kind, flow in customer.flows.items()
+        if flow.queued_count and kind in kinds
+    )
+    return min(flows, key=lambda x: x.tasks.first_entry(waiting))
+
+
 def make_queue(policy: str, slots: int, speed: float = 1.0) -> FifoQueue:
     """Return the queue for a value of the setting ``policy``.
 
--- a/src/limpetlanding/policy/tests/test_queueing.py
+++ b/src/limpetlanding/policy/tests/test_queueing.py
@@ -118,10 +118,6 @@
             queue.push(make_queued(key, deadline=deadline), 0)
         assert drain(queue) == [2, 3, 0, 1]
 
-    @pytest.mark.xfail(
-        strict=True,
-        reason='KNOWN-RED: kinds of a customer do not go by deadline',
-    )
     def test_earlier_deadline_of_another_kind_first(self):
         # Guards against tasks of one customer that are started in the order in
         # which their kinds were first queued instead of by deadline.
