Refuse jobs that cannot end in time to be of use

Cause: a job waited until its client's deadline, whatever the load.

A late job is not started at a worker where it would be of no use. Retry-After is about the time that the job has waited, spread by half in both directions. In test_rate_of_reports_is_bounded the queue now has a latency target of 9 s, because its 300 simultaneous jobs would otherwise be refused; its assertions are the same.

--- a/src/limpetlanding/platform/ingress.py
+++ b/src/limpetlanding/platform/ingress.py
@@ -99,7 +99,7 @@
             job, queue, wait_s, catalog.version
         )
     except JobNotStarted as error:
-        return _service_unavailable(error.detail)
+        return _service_unavailable(error.detail, error.retry_after_s)
     except JobAbandoned as error:
         return _json_response(504, error=error.detail)
     return _json_response(200, state=state.value)
@@ -117,9 +117,11 @@
         ) from error
 
 
-def _service_unavailable(detail: str) -> web.Response:
+def _service_unavailable(
+    detail: str, retry_after_s: int = RETRY_AFTER_S
+) -> web.Response:
     response = _json_response(503, error=detail)
-    response.headers['Retry-After'] = str(RETRY_AFTER_S)
+    response.headers['Retry-After'] = str(retry_after_s)
     return response
 
 
--- a/src/limpetlanding/platform/tests/test_jobs.py
+++ b/src/limpetlanding/platform/tests/test_jobs.py
@@ -87,6 +87,19 @@
             assert status == 503
             assert not system.history()
 
+    async def test_hopeless_job_is_refused_before_its_deadline(self):
+        # Guards against a client that waits in vain although its front knows
+        # that the answer would come too late.
+        async with System().run() as system:
+            begin = asyncio.get_running_loop().time()
+            status, _, headers = await system.call(
+                'POST', f'/quote/{JOB}', body(1, cpu=99_000), wait_ms=60_000
+            )
+            assert status == 503
+            assert int(headers['Retry-After']) >= 1
+            assert asyncio.get_running_loop().time() - begin < 10
+            assert not system.history()
+
     async def test_second_submission_joins_the_first(self):
         async with System().run() as system:
             answers = await asyncio.gather(
@@ -398,6 +411,10 @@
 
     async def test_rate_of_reports_is_bounded(self):
         async with System(worker_count=1, front_count=2).run() as system:
+            # All jobs are of use, so that none is refused.
+            unhurried = config(2, targetLatencyMs=9000)
+            system.store.put('keyed.op', 'config', unhurried)
+            await asyncio.sleep(0.1)
             system.executors[0].work_s = lambda _: 0.003
             sent = []
             for channel in system.workers[0].node.channels:
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from math import inf
+from random import Random
 
 from loguru import logger
 
@@ -24,6 +25,7 @@
 )
 from limpetlanding.runs.model import Job, JobState, Queue, Resources, RunEnd
 from limpetlanding.runs.placement import Assignment, Pool, urgency
+from limpetlanding.runs.refusal import is_hopeless, retry_after_s
 from limpetlanding.runs.supervisor import LEASE_MS
 from limpetlanding.wire import Channel
 from limpetlanding.wire.run_messages import (
@@ -70,7 +72,19 @@
 
 
 class JobNotStarted(LimpetlandingError):
-    """No task of the job has been started, and none will be."""
+    """No task of the job has been started, and none will be.
+
+    Parameters
+    ----------
+    retry_after_s : int
+        Seconds after which the client may submit the job again.
+    """
+
+    def __init__(
+        self, detail: str, *, step: str, peer: str = '', retry_after_s: int = 1
+    ) -> None:
+        super().__init__(detail, step=step, peer=peer)
+        self.retry_after_s = retry_after_s
 
 
 class JobAbandoned(LimpetlandingError):
@@ -87,10 +101,13 @@
     ----------
     fleet : Fleet
         The workers that this front knows.
+    rng : random.Random
+        Spreads the times after which refused clients return.
     """
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: Fleet, rng: Random) -> None:
         self.fleet = fleet
+        self.rng = rng
         self.loop = asyncio.get_running_loop()
         self.jobs: dict[str, ActiveJob] = {}
         self.ended_jobs: dict[str, ActiveJob] = {}
@@ -270,6 +287,7 @@
             now,
             version,
             self.loop.create_future(),
+            wait_s,
         )
         earlier = self.ended_jobs.get(job.job_id)
         if earlier is not None:
@@ -289,15 +307,23 @@
         if active.is_done():
             active.outcome.set_result(JobState.COMPLETED)
         self.placement_needed.set()
+        # Without reports of workers there is no pass that would refuse it.
+        self.loop.call_at(active.useful_until, self.placement_needed.set)
         return active
 
     def _unfinished_error(self, active: ActiveJob) -> LimpetlandingError:
-        error_type = JobAbandoned if active.has_run else JobNotStarted
-        return error_type(
-            f'{len(active.waiting)} tasks waiting, '
-            f'{len(active.placed)} running',
+        detail = (
+            f'{len(active.waiting)} tasks waiting, {len(active.placed)} running'
+        )
+        pool = active.queue.pool
+        if active.has_run:
+            return JobAbandoned(detail, step='dispatch', peer=pool)
+        waited_s = self.loop.time() - active.submitted_at
+        return JobNotStarted(
+            detail,
             step='dispatch',
-            peer=active.queue.pool,
+            peer=pool,
+            retry_after_s=retry_after_s(waited_s, self.rng),
         )
 
     def _end_job(self, active: ActiveJob, why: str) -> None:
@@ -352,12 +378,22 @@
             key=lambda x: urgency(now, x, pools[x.queue.pool].lowest_run_ratio)
         )
         for active in jobs:
-            chosen, left = pools[active.queue.pool].assign(active, now)
+            pool = pools[active.queue.pool]
+            if is_hopeless(active, now, pool.lowest_run_ratio):
+                self._refuse(active)
+                continue
+            chosen, left = pool.assign(active, now)
             active.waiting = left
             if left:
                 self.shortage_at = now
             self._send_orders(active, chosen)
 
+    def _refuse(self, active: ActiveJob) -> None:
+        self.counts['jobs_hopeless'] += 1
+        active.waiting.clear()
+        if not active.outcome.done():
+            active.outcome.set_exception(self._unfinished_error(active))
+
     def _send_orders(self, active: ActiveJob, chosen: Assignment) -> None:
         if chosen and active.first_ordered_at is None:
             active.first_ordered_at = self.loop.time()
--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -63,7 +63,7 @@
         self.loop = asyncio.get_running_loop()
         self.catalogs = CatalogHolder(self._broadcast_catalog)
         self.fleet = Fleet(node.hello.failure_domain)
-        self.dispatcher = Dispatcher(self.fleet)
+        self.dispatcher = Dispatcher(self.fleet, rng)
         self.subset = WorkerSubset(node.hello.node, node.hello.failure_domain)
         self.subset_outdated = asyncio.Event()
         # Address of each worker according to its record.
--- a/src/limpetlanding/runs/jobs.py
+++ b/src/limpetlanding/runs/jobs.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from math import inf
 
 from limpetlanding.runs.model import Job, JobState, Queue, Step
 from limpetlanding.wire.run_messages import run_key
@@ -13,6 +14,10 @@
 runs count as such. They say little about the task, but a task that crashes its
 executors must not be repeated without limit."""
 
+USELESS_AFTER_FACTOR = 3
+"""Multiple of its objective within which the answer of a late job has a value
+for the client, according to the documentation of the platform."""
+
 
 @dataclass(slots=True, eq=False)
 class ActiveTask:
@@ -66,6 +71,8 @@
         Version of the configuration under which the job was accepted.
     outcome : asyncio.Future
         Receives the final state, or the error that the clients receive.
+    wait_s : float
+        How long the client waits, in seconds.
     """
 
     job: Job
@@ -73,6 +80,7 @@
     submitted_at: float
     catalog_version: int
     outcome: asyncio.Future[JobState]
+    wait_s: float = inf
     waiting: list[ActiveTask] = field(default_factory=list)
     placed: dict[str, ActiveTask] = field(default_factory=dict)
     unfinished_tasks: Counter[int] = field(default_factory=Counter)
@@ -90,13 +98,18 @@
     # job must end to be on time.
     longest_chains_s: list[float] = field(init=False)
     due_at: float = field(init=False)
+    # Time after which the answer has no value for the client.
+    useful_until: float = field(init=False)
     # Number of runs of each task so far, by name of the task.
     runs: Counter[str] = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
         """Compute the fields that follow from the declared run times."""
         self.longest_chains_s = _longest_chains_s(self.job.steps)
-        self.due_at = self.submitted_at + objective_s(self.job, self.queue)
+        aim_s = objective_s(self.job, self.queue)
+        self.due_at = self.submitted_at + aim_s
+        useful_s = min(USELESS_AFTER_FACTOR * aim_s, self.wait_s)
+        self.useful_until = self.submitted_at + useful_s
 
     def latest_start(self, run_ratio: float) -> float:
         """Return when the waiting tasks must start for the job to be on time.
@@ -106,11 +119,15 @@
         run_ratio : float
             Expected run time as a multiple of the declared one.
         """
-        longest_s = max(
+        return self.due_at - self.longest_waiting_s * run_ratio
+
+    @property
+    def longest_waiting_s(self) -> float:
+        """Declared run time of the longest chain from a waiting task on."""
+        return max(
             (self.longest_chains_s[task.step_index] for task in self.waiting),
             default=0,
         )
-        return self.due_at - longest_s * run_ratio
 
     @property
     def has_run(self) -> bool:
--- a/src/limpetlanding/runs/placement.py
+++ b/src/limpetlanding/runs/placement.py
@@ -7,6 +7,7 @@
 
 from limpetlanding.runs.fleet import Fleet, WorkerView, lowest_run_ratio
 from limpetlanding.runs.jobs import ActiveJob, ActiveTask
+from limpetlanding.runs.refusal import max_useful_ratio
 
 TASKS_PER_BATCH = 4
 """Tasks of one job that are ordered from one worker before the next is used. A
@@ -55,7 +56,11 @@
         """
         chosen: Assignment = defaultdict(list)
         is_late = now > active.latest_start(self.lowest_run_ratio)
-        max_run_ratio = inf if is_late else _max_run_ratio(now, active)
+        max_run_ratio = (
+            max_useful_ratio(active, now)
+            if is_late
+            else _max_run_ratio(now, active)
+        )
         left = [
             self._assign_step(active, tasks, now, max_run_ratio, chosen)
             for tasks in _by_step(active.waiting)
@@ -116,9 +121,7 @@
     Slower workers are not used as long as the job can be on time, because a
     faster worker may become free.
     """
-    longest_s = max(
-        active.longest_chains_s[x.step_index] for x in active.waiting
-    )
+    longest_s = active.longest_waiting_s
     return (active.due_at - now) / longest_s if longest_s else inf
 
 
