--- a/src/limpetlanding/runs/catalog.py
+++ b/src/limpetlanding/runs/catalog.py
@@ -1,6 +1,7 @@
 """Newest known configuration, and its encoding between processes."""
 
 import dataclasses
+from collections import defaultdict
 from collections.abc import Callable
 
 import orjson
@@ -30,6 +31,8 @@
     def __init__(self, on_change: Callable[[Catalog], None]) -> None:
         self.on_change = on_change
         self.catalog = Catalog()
+        # Queues of each host, those with the longest prefix first.
+        self.queues: dict[str, list[Queue]] = {}
 
     @property
     def version(self) -> int:
@@ -48,6 +51,7 @@
             queues=len(catalog.queues),
         ).info('configuration in force')
         self.catalog = catalog
+        self.queues = _queues_by_host(catalog)
         self.on_change(catalog)
         return True
 
@@ -67,12 +71,24 @@
 
         If several queues match, the one with the longest prefix is returned.
         """
-        matches = [
-            queue
-            for queue in self.catalog.queues
-            if queue.host == host and path.startswith(queue.prefix)
-        ]
-        return max(matches, key=lambda x: len(x.prefix), default=None)
+        return next(
+            (
+                queue
+                for queue in self.queues.get(host, ())
+                if path.startswith(queue.prefix)
+            ),
+            None,
+        )
+
+
+def _queues_by_host(catalog: Catalog) -> dict[str, list[Queue]]:
+    by_host: dict[str, list[Queue]] = defaultdict(list)
+    by_prefix = sorted(
+        catalog.queues, key=lambda x: len(x.prefix), reverse=True
+    )
+    for queue in by_prefix:
+        by_host[queue.host].append(queue)
+    return dict(by_host)
 
 
 def decode_catalog(update: CatalogUpdate) -> Catalog:
--- /dev/null
+++ b/src/limpetlanding/runs/tests/test_catalog.py
@@ -0,0 +1,43 @@
+"""The configuration in force, and the queue of a request."""
+
+from limpetlanding.runs.catalog import CatalogHolder
+from limpetlanding.runs.model import Catalog, Queue
+
+HOST = 'desk.example'
+
+
+def queue(name, prefix, host=HOST):
+    return Queue(name, host, prefix, 'desk')
+
+
+def holder_of(*queues):
+    holder = CatalogHolder(lambda _: None)
+    holder.replace_if_newer(Catalog(1, list(queues)), 'store')
+    return holder
+
+
+class TestFind:
+    """Guards against requests that reach another queue."""
+
+    def test_longest_prefix_of_the_host_is_used(self):
+        holder = holder_of(
+            queue('short', '/a/'),
+            queue('long', '/a/b/'),
+            queue('other host', '/a/b/c/', 'other.example'),
+        )
+        assert holder.find(HOST, '/a/b/c/1').name == 'long'
+        assert holder.find(HOST, '/a/c/1').name == 'short'
+        assert holder.find(HOST, '/b/1') is None
+        assert holder.find('unknown.example', '/a/1') is None
+
+    def test_removed_queue_is_not_found(self):
+        holder = holder_of(queue('old', '/a/'))
+        holder.replace_if_newer(Catalog(2, [queue('new', '/b/')]), 'store')
+        assert holder.find(HOST, '/a/1') is None
+        assert holder.find(HOST, '/b/1').name == 'new'
+
+    def test_cost_does_not_grow_with_the_queues_of_other_hosts(self):
+        # Guards against a search through all queues for each request.
+        others = [queue(f'q{n}', f'/{n}/', f'h{n}.example') for n in range(999)]
+        holder = holder_of(queue('own', '/a/'), *others)
+        assert holder.queues[HOST] == [queue('own', '/a/')]
