--- a/src/limpetlanding/platform/tests/test_metrics.py
+++ b/src/limpetlanding/platform/tests/test_metrics.py
@@ -44,9 +44,11 @@
             shown = front_status(system.fronts[0])
             assert shown['workers'][0]['node'] == 'w0'
             assert shown['workers'][0]['usable']
+            assert shown['known_workers'] == 1
             shown = worker_status(system.workers[0])
             assert shown['executor'].startswith('i-0/')
             assert shown['runs'] == []
+            assert shown['fronts'] == ['f0']
 
 
 class TestOutput:
--- a/src/limpetlanding/runs/metrics.py
+++ b/src/limpetlanding/runs/metrics.py
@@ -39,8 +39,16 @@
                 'Tasks that wait for room.',
                 lambda: sum(len(x.waiting) for x in dispatcher.jobs.values()),
             ),
+            'front_workers_known_count': (
+                'Workers of the fleet whose addresses are known.',
+                lambda: len(front.subset.candidates),
+            ),
+            'front_subset_count': (
+                'Workers that the front intends to be linked to.',
+                lambda: front.subset.size,
+            ),
             'front_workers_count': (
-                'Workers known.',
+                'Workers with a link or with runs.',
                 lambda: len(front.fleet.views),
             ),
             'front_workers_usable_count': (
@@ -126,6 +134,8 @@
         'config_version': front.catalogs.version,
         'jobs': len(front.dispatcher.jobs),
         'events': dict(front.dispatcher.counts),
+        'known_workers': len(front.subset.candidates),
+        'subset_size': front.subset.size,
         'workers': [
             {
                 'node': view.name,
@@ -154,6 +164,7 @@
         else '',
         'refusal': supervisor.refusal_reason(supervisor.free),
         'health': supervisor.health_state(),
+        'fronts': sorted(x.peer.node for x in worker.node.connected('front')),
         'config_version': worker.catalogs.version,
         'runs': [
             {
