Keep a front working after an unexpected error

Cause: the loops of a front share a task group, so one unexpected exception ended them all, while the front stayed ready and its jobs waited in vain. A record of a worker with a number as its address did that when the subset was chosen; so did an error in a stream of the store, and one in placing a single job.

Change: records of workers with a wrong type or an unusable address are ignored with a log line; a stream is opened again after an unexpected error; a pass that fails is repeated after 0.1 s; a job that cannot be placed is given up and does not hold up the others; an error in choosing the subset is logged.

--- a/src/limpetlanding/platform/store.py
+++ b/src/limpetlanding/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import re
 from collections.abc import AsyncIterator, Iterator
 from dataclasses import asdict
 
@@ -32,6 +33,8 @@
 Record = tuple[str, bytes]
 """Key and value of a record."""
 
+_ADDRESS = re.compile(r'[^\s:]+:\d{1,5}')
+
 _OK = 200
 _GONE = 410
 _NUMBER_BYTES = 8
@@ -199,9 +202,10 @@
     try:
         fields = orjson.loads(value)
         capacity = fields['capacity'] and Resources(**fields['capacity'])
-        return WorkerRecord(
-            name, fields['address'], capacity, fields.get('failure_domain', '')
-        )
+        address, domain = fields['address'], fields.get('failure_domain', '')
+        if not _ADDRESS.fullmatch(address) or not isinstance(domain, str):
+            raise ValueError(f'address {address!r}, failure domain {domain!r}')
+        return WorkerRecord(name, address, capacity, domain)
     except (ValueError, LookupError, TypeError) as error:
         logger.bind(step='members', peer=name).error(
             'record of the worker ignored: {!r}', error
--- a/src/limpetlanding/platform/tests/test_jobs.py
+++ b/src/limpetlanding/platform/tests/test_jobs.py
@@ -9,6 +9,8 @@
     body,
     config,
 )
+from limpetlanding.runs.fleet import Fleet
+from limpetlanding.runs.placement import Pool
 from limpetlanding.runs.worker import MAX_REPORTS_PER_S
 from limpetlanding.standin.platform_checks import overlapping_runs, peak_cpu
 from limpetlanding.wire.run_messages import WorkerReport
@@ -468,3 +470,74 @@
             assert (await system.submit(JOB, long, wait_ms=9000))[0] == 503
             assert (await system.submit(OTHER, body(), wait_ms=900))[0] == 200
             assert not [x for x in system.history() if JOB in x.task]
+
+
+class TestUnexpectedErrors:
+    """Guards against one bad record or fault that ends the work of a front."""
+
+    @pytest.mark.parametrize(
+        'record',
+        [
+            {'address': 7, 'capacity': None, 'failure_domain': 'z1'},
+            {'address': 'nowhere', 'capacity': None, 'failure_domain': 'z1'},
+            {
+                'address': '127.0.0.1:7199',
+                'capacity': None,
+                'failure_domain': 3,
+            },
+            {'address': '127.0.0.1:7199', 'capacity': 'much'},
+            ['not', 'a', 'record'],
+        ],
+        ids=['number', 'no port', 'domain', 'capacity', 'list'],
+    )
+    async def test_record_of_another_writer_is_ignored(self, record):
+        async with System().run() as system:
+            system.store.put('keyed.workers', 'x', record)
+            await asyncio.sleep(1)
+            assert (await system.submit(JOB))[0] == 200
+            await system.kill('f0')
+            await system.start_front(0, incarnation=2)
+            await system.settle()
+            assert (await system.submit(OTHER))[0] == 200
+            assert 'x' not in system.fronts[0].recorded
+
+    async def test_configuration_is_followed_after_an_unexpected_error(self):
+        async with System().run() as system:
+            front = system.fronts[0]
+            front.catalogs.on_change = lambda _: 1 / 0
+            system.store.put('keyed.op', 'config', config(2))
+            await asyncio.sleep(0.5)
+            front.catalogs.on_change = lambda _: None
+            system.store.put('keyed.op', 'config', config(9, pathPrefix='/b/'))
+            await asyncio.sleep(2)
+            assert (await system.call('GET', '/b/'))[0] == 200
+
+    async def test_job_that_cannot_be_placed_does_not_stop_others(
+        self, monkeypatch
+    ):
+        assign = Pool.assign
+
+        def assign_or_fail(pool, active, now):
+            if active.job.job_id == JOB:
+                raise ZeroDivisionError('unexpected')
+            return assign(pool, active, now)
+
+        monkeypatch.setattr(Pool, 'assign', assign_or_fail)
+        async with System().run() as system:
+            begin = asyncio.get_running_loop().time()
+            assert (await system.submit(JOB))[0] == 503
+            assert asyncio.get_running_loop().time() - begin < 0.1
+            assert (await system.submit(OTHER))[0] == 200
+
+    async def test_front_serves_after_an_error_outside_a_job(self, monkeypatch):
+        usable = Fleet.usable
+        failures = iter(range(3))
+
+        def fail_at_first(fleet, pool):
+            if next(failures, None) is not None:
+                raise ZeroDivisionError('unexpected')
+            return usable(fleet, pool)
+
+        async with System().run() as system:
+            monkeypatch.setattr(Fleet, 'usable', fail_at_first)
+            assert (await system.submit(JOB))[0] == 200
--- a/src/limpetlanding/runs/background.py
+++ b/src/limpetlanding/runs/background.py
@@ -1,7 +1,8 @@
 """Runs coroutines as background tasks."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from loguru import logger
@@ -29,6 +30,21 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+@contextmanager
+def errors_logged(step: str) -> Iterator[None]:
+    """Log an unexpected exception, so that a loop of the process continues.
+
+    Parameters
+    ----------
+    step : str
+        What the block does, for the log.
+    """
+    try:
+        yield
+    except Exception as error:
+        logger.bind(step=step).opt(exception=error).error('unexpected error')
+
+
 def log_task_exception(task: asyncio.Task[Any]) -> None:
     """Log the exception of an ended task, if it has raised one."""
     if not task.cancelled() and task.exception() is not None:
--- a/src/limpetlanding/runs/backoff.py
+++ b/src/limpetlanding/runs/backoff.py
@@ -26,7 +26,8 @@
     """Pass each item of a stream to `handle`; reopen the stream when it ends.
 
     Runs until it is cancelled. A line is logged when the store stops answering
-    and when it answers again.
+    and when it answers again. After an unexpected error in the stream or in
+    `handle` the stream is opened again.
 
     Parameters
     ----------
@@ -57,5 +58,11 @@
                     'store unavailable: {}', error
                 )
             lost = True
+        except Exception as error:
+            # Neither an unreadable answer nor a fault in `handle` may end the
+            # process.
+            logger.bind(step='store', stream=name).opt(exception=error).error(
+                'unexpected error'
+            )
         await asyncio.sleep(pause_s * rng.uniform(0.5, 1))
         pause_s = min(2 * pause_s, MAX_PAUSE_S)
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -63,6 +63,9 @@
 """Pause between two passes over the waiting jobs; a job that arrives meanwhile
 waits for its end."""
 
+FAILED_PASS_PAUSE_S = 0.1
+"""Time until a pass is repeated that has ended with an unexpected error."""
+
 SHORTAGE_MEMORY_S = 1
 """Time after which a task that found no room does not count any more."""
 
@@ -131,7 +134,15 @@
             await self.placement_needed.wait()
             self.placement_needed.clear()
             begin = self.loop.time()
-            self._place_waiting()
+            try:
+                self._place_waiting()
+            except Exception as error:
+                logger.bind(step='place').opt(exception=error).error(
+                    'unexpected error; the pass is repeated'
+                )
+                self.loop.call_later(
+                    FAILED_PASS_PAUSE_S, self.placement_needed.set
+                )
             # While jobs wait, each report of a worker triggers a pass, which
             # takes long if many jobs wait. The pause limits passes to half of
             # the time, and lets one pass serve several reports and jobs.
@@ -389,7 +400,11 @@
             if is_hopeless(active, now, pool.lowest_run_ratio):
                 self._refuse(active)
                 continue
-            chosen, left = pool.assign(active, now)
+            try:
+                chosen, left = pool.assign(active, now)
+            except Exception as error:
+                self._fail_placement(active, error)
+                continue
             active.waiting = left
             if left:
                 self.shortage_at = now
@@ -397,6 +412,18 @@
 
     def _refuse(self, active: ActiveJob) -> None:
         self.counts['jobs_hopeless'] += 1
+        self._give_up(active)
+
+    def _fail_placement(self, active: ActiveJob, error: Exception) -> None:
+        # Otherwise each later pass would fail at the same job.
+        logger.bind(request_id=active.job.job_id, step='place').opt(
+            exception=error
+        ).error('unexpected error; the job is given up')
+        # Some of its tasks may have been assigned, and are not ordered.
+        active.may_have_run |= bool(active.placed)
+        self._give_up(active)
+
+    def _give_up(self, active: ActiveJob) -> None:
         active.waiting.clear()
         if not active.outcome.done():
             active.outcome.set_exception(self._unfinished_error(active))
--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from limpetlanding.runs.background import errors_logged
 from limpetlanding.runs.backoff import follow_stream
 from limpetlanding.runs.catalog import CatalogHolder
 from limpetlanding.runs.dispatcher import Dispatcher
@@ -208,7 +209,8 @@
                 async with asyncio.timeout(SUBSET_INTERVAL_S):
                     await self.subset_outdated.wait()
             self.subset_outdated.clear()
-            self._update_subset()
+            with errors_logged('members'):
+                self._update_subset()
 
     def _update_subset(self) -> None:
         now = self.loop.time()
