Do not tell a client that its resubmitted job has not run, if it has

Cause: a resubmission at the same front kept the run numbers of the earlier submission, but not that tasks of it had been started. If it found no room, its client was told with 503 that the job had not run, although it had after the answer to the earlier submission was lost. Seen by reading the change of the refusals; the test fails before with 503.

Change: the new submission takes over whether the job has run, so that it is answered with 504. Also, a job given up after an unexpected error in its placement frees the resources that the attempt had reserved; its test now fails within the placement and checks that.

--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -310,6 +310,8 @@
         earlier = self.ended_jobs.get(job.job_id)
         if earlier is not None:
             active.runs = earlier.runs
+            # The client must not be told that the job has not run.
+            active.may_have_run = earlier.has_run
         self.jobs[job.job_id] = active
         logger.bind(
             request_id=job.job_id,
@@ -421,6 +423,9 @@
         ).error('unexpected error; the job is given up')
         # Some of its tasks may have been assigned, and are not ordered.
         active.may_have_run |= bool(active.placed)
+        for view in self.fleet.views.values():
+            for task in active.placed.values():
+                view.settle_order(task.key)
         self._give_up(active)
 
     def _give_up(self, active: ActiveJob) -> None:
