Bound the slowdown that a peer may announce, and send farewells only to peers that know them

Cause: a heartbeat with an infinite slowdown would have hidden a silent peer for ever, and a peer of an older build closes the link at the unknown message; both found by reading the diff. The tests fail before.

--- a/src/limpetlanding/wire/link.py
+++ b/src/limpetlanding/wire/link.py
@@ -35,6 +35,9 @@
 _MAX_UNSENT_BYTES = 8 * 1024 * 1024
 _MIN_TICK_S = 0.05
 
+MAX_SLOWDOWN = 20
+"""Highest slowdown that a peer may announce; a higher one counts as this."""
+
 
 class Link:
     """One connection to a peer.
@@ -275,7 +278,9 @@
                 if frame.kind != FrameKind.NOTIFY:
                     self._end_slowdown()
                 elif isinstance(frame.message, Heartbeat):
-                    self.peer_slowdown = max(frame.message.slowdown, 1)
+                    # In this order NaN counts as 1.
+                    announced = min(frame.message.slowdown, MAX_SLOWDOWN)
+                    self.peer_slowdown = max(1, announced)
                 deliver(self, frame)
         except MalformedMessage as error:
             if error.kind == FrameKind.REQUEST:
--- a/src/limpetlanding/wire/node.py
+++ b/src/limpetlanding/wire/node.py
@@ -209,7 +209,8 @@
         if not channel.links:
             self.peers.remove(channel, 'released')
             return
-        channel.notify(Farewell())
+        if channel.peer.slow_heartbeats:
+            channel.notify(Farewell())
         channel.released = True
         for link in channel.links:
             self._keep_task(link.close())
--- a/src/limpetlanding/wire/tests/test_idle_links.py
+++ b/src/limpetlanding/wire/tests/test_idle_links.py
@@ -1,12 +1,14 @@
 import asyncio
 from contextlib import asynccontextmanager
 from functools import partial
+from math import inf, nan
 from random import Random
 
 import pytest
 
 from limpetlanding.errors import PeerLost
-from limpetlanding.wire import Ack, Hello, Node, NodeOptions, Timing
+from limpetlanding.wire import Ack, Heartbeat, Hello, Node, NodeOptions, Timing
+from limpetlanding.wire.link import MAX_SLOWDOWN
 from limpetlanding.wire.suspension import SuspensionMonitor
 from limpetlanding.wire.tests.faulty_network import FaultyNetwork
 
@@ -166,7 +168,32 @@
             assert elapsed_s <= SLOW_SILENCE_S + 0.1
 
 
+class TestNonsense:
+    @pytest.mark.parametrize('slowdown', [inf, nan, -1.0, 0.0, 1e9])
+    async def test_nonsensical_slowdown_does_not_hide_a_silent_peer(
+        self, slowdown
+    ):
+        # Guards against a malformed heartbeat after which a peer can be silent
+        # for ever.
+        async with linked_pair() as pair:
+            pair.back.notify(Heartbeat(0, slowdown))
+            await asyncio.sleep(0.01)
+            (link,) = pair.channel.links
+            assert 1 <= link.peer_slowdown <= MAX_SLOWDOWN
+            for connection in pair.network.connections:
+                connection.silence()
+            await pair.seconds_until_silent(0)
+
+
 class TestRelease:
+    async def test_peer_of_an_older_build_gets_no_farewell(self):
+        # Guards against a message that the peer cannot decode.
+        async with linked_pair((True, False)) as pair:
+            pair.nodes[0].release(pair.channel)
+            await asyncio.sleep(0.05)
+            assert not pair.nodes[0].counters.sent.messages['bye']
+            assert not pair.nodes[1].counters.events['protocol_errors']
+
     async def test_released_link_is_not_opened_again(self):
         # Guards against links that one end closes and the other opens in turn.
         async with linked_pair() as pair:
