Distinguish crashed executors from silent ones in logs and metrics

A crash, a silent executor and an expired lease were all logged as `lapsed`, so that the hypotheses on the deadly tasks could not be told apart. A worker now ends runs as `crashed` if no process listens at the address of the executor, or another incarnation appears without a farewell, and logs once which tasks the executor had, and which of them were started shortly before. Losses are counted by kind.

--- a/src/limpetlanding/platform/executor.py
+++ b/src/limpetlanding/platform/executor.py
@@ -12,6 +12,7 @@
 )
 from limpetlanding.runs.ports import (
     CallTarget,
+    ExecutorDown,
     ExecutorReplaced,
     ExecutorUnavailable,
     FenceRejected,
@@ -146,7 +147,10 @@
             ) as response:
                 content = await response.read()
         except (aiohttp.ClientError, OSError) as error:
-            raise ExecutorUnavailable(
+            # aiohttp raises one type of error for all failed connects.
+            cause = getattr(error, 'os_error', error)
+            is_down = isinstance(cause, ConnectionRefusedError)
+            raise (ExecutorDown if is_down else ExecutorUnavailable)(
                 repr(error), step=name, peer=self.address
             ) from error
         if response.status == _MISDIRECTED:
--- a/src/limpetlanding/runs/metrics.py
+++ b/src/limpetlanding/runs/metrics.py
@@ -119,6 +119,14 @@
         'how',
         lambda: iter(worker.counts.items()),
     )
+    metrics.copy_counts(
+        metrics.counter(
+            'worker_executor_losses_total',
+            'Losses of the executor with runs: silent, and surely crashed.',
+        ),
+        'kind',
+        lambda: iter(worker.loss_counts.items()),
+    )
     worker.on_run = metrics.histogram(
         'worker_run_seconds', 'Time from the start of a run to its end.'
     ).observe
--- a/src/limpetlanding/runs/model.py
+++ b/src/limpetlanding/runs/model.py
@@ -173,8 +173,10 @@
     FAILED = 'failed'
     # Stopped because the job has ended, its front was lost or the worker stops.
     STOPPED = 'stopped'
-    # The lease expired, the executor restarted or the run was not found.
+    # The lease expired, the executor has left or the run was not found.
     LAPSED = 'lapsed'
+    # The executor crashed.
+    CRASHED = 'crashed'
     # The start was refused, dropped or not answered; if the run may have
     # started nevertheless, it has been stopped.
     REFUSED = 'refused'
--- a/src/limpetlanding/runs/ports.py
+++ b/src/limpetlanding/runs/ports.py
@@ -16,6 +16,10 @@
     """No usable answer; the call may have been or may yet be executed."""
 
 
+class ExecutorDown(ExecutorUnavailable):
+    """No process listens at the address of the executor."""
+
+
 class ExecutorReplaced(LimpetlandingError):
     """Another incarnation of the executor is at the address."""
 
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -13,12 +13,14 @@
 from loguru import logger
 
 from limpetlanding.runs.background import BackgroundTasks
+from limpetlanding.runs.crashes import Crash, is_recent_start
 from limpetlanding.runs.executor_clock import ExecutorClock
 from limpetlanding.runs.health import ExecutorHealth
 from limpetlanding.runs.model import Resources, RunEnd
 from limpetlanding.runs.ports import (
     CallTarget,
     Executor,
+    ExecutorDown,
     ExecutorPort,
     ExecutorReplaced,
     ExecutorUnavailable,
@@ -42,6 +44,11 @@
 MAX_UNANSWERED_INVENTORIES = 2
 """Consecutive unanswered inventories after which the lease is not renewed."""
 
+MIN_REFUSED_CONNECTIONS = 2
+"""Consecutive refused connections after which the process of the executor has
+surely ended. A process that is ending may close its listener a little earlier.
+"""
+
 FENCING_TOKEN_INCREMENT = 5_000
 """Added to a fencing token that the executor rejects as too low, for example
 after the clock was set back."""
@@ -73,6 +80,9 @@
 
 MAX_START_ATTEMPTS = 3
 
+MAX_LOGGED_TASKS = 30
+"""Tasks that the log line of a crash names; an executor runs about 20."""
+
 RATIO_WEIGHT = 0.1
 """Weight of a new run in the moving average of run time over estimate. Single
 ratios vary by about 40% within each job."""
@@ -130,6 +140,14 @@
         self.last_lease_ms = 0
         self.reachable = False
         self.unanswered_inventories = 0
+        self.refused_connections = 0
+        self.last_answer_at = self.loop.time()
+        # The current loss of the executor, and its runs that have ended because
+        # of it; empty while the executor answers.
+        self.loss_id = ''
+        self.loss_is_certain = False
+        self.lost_runs: list[TrackedRun] = []
+        self.on_crash: Callable[[Crash], None] = _ignore_crash
         # An order was not answered, and no inventory has been received since.
         self.order_unanswered = False
         # Orders of an earlier incarnation of this process may still arrive at
@@ -198,7 +216,7 @@
         """Process the message of the executor that it shuts down."""
         known = self.executor
         if known is not None and known.executor_id == executor_id:
-            self._end_incarnation('the executor has left')
+            self._end_incarnation('the executor has left', crashed=False)
 
     def start(self, held: TrackedRun) -> None:
         """Reserve the resources of a run and start it.
@@ -246,6 +264,7 @@
         self.acknowledged_by_executor = 0
         self.last_lease_ms = 0
         self.reachable = False
+        self._executor_answered()
         self.unknown_runs.clear()
         logger.bind(
             step='executor',
@@ -256,12 +275,16 @@
         self.background.spawn(self._poll_inventories(self.generation))
         self.on_change()
 
-    def _end_incarnation(self, why: str) -> None:
+    def _end_incarnation(self, why: str, crashed: bool = True) -> None:
+        known = self.executor
         logger.bind(
             step='executor',
-            peer=self.executor.incarnation if self.executor else '',
+            peer=known.incarnation if known else '',
             runs=len(self.runs),
         ).info('executor lost: {}', why)
+        # A draining executor ends on its own.
+        if crashed and known is not None and not known.draining:
+            self._end_lost_runs(is_certain=True)
         self.executor = None
         self.reachable = False
         self.wake.set()
@@ -269,6 +292,56 @@
             self._finish(held, RunEnd.LAPSED)
         self.on_change()
 
+    def _end_lost_runs(self, is_certain: bool) -> None:
+        """End all runs, because the executor has crashed or is silent."""
+        ended = list(self.runs.values())
+        self.lost_runs += ended
+        is_news = ended or (is_certain and not self.loss_is_certain)
+        if self.lost_runs and is_news:
+            self._report_crash(is_certain)
+        self.loss_is_certain = is_certain
+        for held in ended:
+            how = RunEnd.CRASHED if is_certain else RunEnd.LAPSED
+            self._finish(held, how, suspect=not is_certain)
+
+    def _report_crash(self, is_certain: bool) -> None:
+        incarnation = self.executor.incarnation
+        # Unique over incarnations of this process, which differ in the token.
+        self.loss_id = self.loss_id or (
+            f'{incarnation}/{self.fence}/{self.loop.time():.3f}'
+        )
+        recent = {held.task for held in self.lost_runs if self._is_recent(held)}
+        others = {held.task for held in self.lost_runs} - recent
+        crash = Crash(
+            self.loss_id,
+            tuple(sorted(recent)),
+            tuple(sorted(others)),
+            is_certain,
+        )
+        logger.bind(
+            step='executor',
+            peer=incarnation,
+            crash=crash.crash_id,
+            recent=crash.recent_tasks[:MAX_LOGGED_TASKS],
+            others=crash.other_tasks[:MAX_LOGGED_TASKS],
+            silent_ms=round(1000 * (self.loop.time() - self.last_answer_at)),
+        ).info(
+            'executor crashed' if is_certain else 'executor silent, runs lapsed'
+        )
+        self.on_crash(crash)
+
+    def _is_recent(self, held: TrackedRun) -> bool:
+        started_at = held.started_at if held.started else None
+        return is_recent_start(started_at, self.last_answer_at)
+
+    def _executor_answered(self) -> None:
+        self.last_answer_at = self.loop.time()
+        self.unanswered_inventories = 0
+        self.refused_connections = 0
+        self.loss_id = ''
+        self.loss_is_certain = False
+        self.lost_runs.clear()
+
     def _update(self, known: Executor, announced: Executor) -> None:
         self.executor = announced
         if announced.draining != known.draining:
@@ -353,6 +426,10 @@
         if not self._is_current(generation):
             return
         self.unanswered_inventories += 1
+        is_refused = isinstance(error, ExecutorDown)
+        self.refused_connections = (
+            self.refused_connections + 1 if is_refused else 0
+        )
         if (
             self.reachable
             and self.unanswered_inventories >= MAX_UNANSWERED_INVENTORIES
@@ -369,13 +446,13 @@
 
     def _end_lapsed_runs(self) -> None:
         if self.clock.is_past(self.last_lease_ms, self.loop.time()):
-            for held in list(self.runs.values()):
-                self._finish(held, RunEnd.LAPSED, suspect=True)
+            is_down = self.refused_connections >= MIN_REFUSED_CONNECTIONS
+            self._end_lost_runs(is_certain=is_down)
 
     def _apply_inventory(self, inventory: Inventory, sent: float) -> None:
         now = self.loop.time()
         self.clock.record(inventory.clock_ms, now)
-        self.unanswered_inventories = 0
+        self._executor_answered()
         if self.order_unanswered:
             self.order_unanswered = False
             self.on_change()
@@ -449,6 +526,7 @@
             reply = await self._send_start(held, generation)
             if reply is None or held.key not in self.runs:
                 return
+            self.last_answer_at = self.loop.time()
             if reply.clock_ms is not None:
                 self.clock.record(reply.clock_ms, self.loop.time())
             if reply.refusal != 'expired':
@@ -481,6 +559,7 @@
                 return await self.port.start(self.call_target(), order)
         except (ExecutorUnavailable, FenceRejected, TimeoutError) as error:
             self.order_unanswered = True
+            self.wake.set()
             self.on_change()
             logger.bind(
                 request_id=held.job_id, task=held.task, run=held.run
@@ -534,6 +613,7 @@
         try:
             async with asyncio.timeout(EXECUTOR_CALL_TIMEOUT_S):
                 await self.port.stop(self.call_target(), task, run)
+                self.last_answer_at = self.loop.time()
         except (ExecutorUnavailable, FenceRejected, TimeoutError):
             await asyncio.sleep(RETRY_PAUSE_S)
             return False
@@ -579,6 +659,10 @@
             self.run_ratio += RATIO_WEIGHT * (ratio - self.run_ratio)
 
 
+def _ignore_crash(_crash: Crash) -> None:
+    """Do nothing; used until a callback is set."""
+
+
 def _run_end(held: TrackedRun, listed: RunEnd) -> RunEnd:
     if listed is RunEnd.STOPPED and held.requested_end is not None:
         return held.requested_end
--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -12,6 +12,7 @@
 from limpetlanding.errors import LimpetlandingError
 from limpetlanding.runs.background import BackgroundTasks
 from limpetlanding.runs.catalog import CatalogHolder
+from limpetlanding.runs.crashes import Crash
 from limpetlanding.runs.model import Catalog, Resources, RunEnd
 from limpetlanding.runs.ports import Executor, ExecutorPort
 from limpetlanding.runs.seed_links import SeedLinks
@@ -84,6 +85,7 @@
         self.supervisor = RunSupervisor(
             port, self._run_ended, self._schedule_report, stop_s, node.clock
         )
+        self.supervisor.on_crash = self._executor_crashed
         self.catalogs = CatalogHolder(self._broadcast_catalog)
         self.queued_outcomes: dict[str, list[RunOutcome]] = defaultdict(list)
         self.blocked_starts: dict[str, float] = {}
@@ -95,6 +97,8 @@
         self.reported_state: tuple[str, bool, str] = ('', False, '')
         self.on_announce: Callable[[], None] = _ignore
         self.counts: Counter[str] = Counter()
+        # Losses of the executor with runs, by whether it surely crashed.
+        self.loss_counts: Counter[str] = Counter()
         # Called with labels and the run time in seconds when a run has ended.
         self.on_run: Callable[[dict[str, str], float], None] = _ignore_run
         self.background = BackgroundTasks()
@@ -278,6 +282,9 @@
                 RunOutcome(task, int(run), RunEnd.LAPSED),
             )
 
+    def _executor_crashed(self, crash: Crash) -> None:
+        self.loss_counts['crashed' if crash.is_certain else 'silent'] += 1
+
     def _run_ended(self, result: RunResult) -> None:
         held = result.held
         self.ended_runs[(held.owner, run_key(held.task, held.run))] = None
