--- a/src/limpetlanding/platform/tests/rig.py
+++ b/src/limpetlanding/platform/tests/rig.py
@@ -34,6 +34,7 @@
 CLIENT_PORT = 7400
 READINESS_PORT = 7500
 HEARTBEAT_INTERVAL_S = 1.5
+DOWN_S = 3.2
 
 
 def config(version=1, **changes):
@@ -96,6 +97,10 @@
         self.executors = []
         self.stacks = {}
         self.heartbeats = []
+        self.crash_count = 0
+        # Whether an executor that has crashed is silent instead of refusing
+        # connections.
+        self.dark_crashes = False
         self.session = None
 
     @asynccontextmanager
@@ -126,19 +131,34 @@
         """Start an executor and its heartbeats."""
         executor = StandinExecutor(f'i-{number}')
         self.executors.append(executor)
-        await stack.enter_async_context(
-            serve(executor.app(), EXECUTOR_PORT + number)
-        )
+        await stack.enter_async_context(running(self.serve_executor(number)))
         self.heartbeats.append(
             asyncio.create_task(self.send_heartbeats(number))
         )
         stack.callback(self.heartbeats[-1].cancel)
 
+    async def serve_executor(self, number):
+        """Serve an executor, and restart it after each crash."""
+        executor = self.executors[number]
+        while True:
+            async with serve(executor.app(), EXECUTOR_PORT + number):
+                await executor.crashed.wait()
+                self.crash_count += 1
+                executor.faults.silent = self.dark_crashes
+                if self.dark_crashes:
+                    await asyncio.sleep(DOWN_S)
+            if not self.dark_crashes:
+                await asyncio.sleep(DOWN_S)
+            executor.faults.silent = False
+            executor.restart(f'i-{number}-{executor.born_ms}')
+            await self.announce(number, executor.announcement())
+
     async def send_heartbeats(self, number):
         """Send heartbeats of an executor until cancelled."""
         executor = self.executors[number]
         while True:
-            await self.announce(number, executor.announcement())
+            if not executor.crashed.is_set():
+                await self.announce(number, executor.announcement())
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     async def announce(self, number, fields):
--- a/src/limpetlanding/standin/platform_executor.py
+++ b/src/limpetlanding/standin/platform_executor.py
@@ -68,6 +68,11 @@
         Starts are refused with 503.
     hides_stopping : bool
         Runs that are being stopped are listed as neither active nor ended.
+    deadly : callable
+        Tells, given the name of a task, whether a run of it crashes the
+        executor.
+    crash_delay_s : float
+        Time from the start of a deadly run to the crash, in seconds.
     """
 
     silent: bool = False
@@ -76,6 +81,8 @@
     stalls: bool = False
     unhealthy: bool = False
     hides_stopping: bool = False
+    deadly: Callable[[str], bool] = lambda task: False
+    crash_delay_s: float = 0.01
 
 
 @dataclass(slots=True)
@@ -98,6 +105,9 @@
         Start of the incarnation on the event loop's clock, in seconds.
     hold_calls : int
         Calls of ``/api/hold`` so far.
+    crashed : asyncio.Event
+        Set by a crash. The program that serves the executor closes its
+        listener, restarts it later and clears the event.
     """
 
     executor_id: str
@@ -120,6 +130,7 @@
     draining: bool = False
     history: list[StandinRun] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    crashed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def app(self) -> web.Application:
         """Return the application that serves the executor's calls."""
@@ -130,13 +141,15 @@
         app.router.add_post('/api/hold', self._serve(self._hold, False))
         return app
 
+    def crash(self) -> None:
+        """End all runs and answer nothing until the next restart."""
+        self._drop_runs()
+        self.crashed.set()
+
     def restart(self, executor_id: str) -> None:
         """Start another incarnation, which knows no run of the last one."""
-        now = _now()
-        for run in self.runs.values():
-            run.ended = now
-            run.how = 'crashed'
-        self.runs = {}
+        self._drop_runs()
+        self.crashed.clear()
         self.highest_run = {}
         self.ended_runs = []
         self.end_count = 0
@@ -145,7 +158,7 @@
         self.sequence = 0
         self.executor_id = executor_id
         self.born_ms += 1_000
-        self.started_at = now
+        self.started_at = _now()
 
     def announcement(self) -> dict[str, Any]:
         """Return the body of the next heartbeat."""
@@ -192,7 +205,10 @@
                 late = self._execute_late(handler, fields, expected)
                 await asyncio.shield(late)
                 await asyncio.sleep(3600)
-            return await self._execute(handler, fields, expected)
+            answer = await self._execute(handler, fields, expected)
+            if self.faults.silent:
+                await asyncio.sleep(3600)
+            return answer
 
         return serve
 
@@ -239,9 +255,22 @@
         self.runs[task] = run
         self.highest_run[task] = number
         self.history.append(run)
-        asyncio.get_running_loop().call_later(work_s, self.end_due_runs)
+        loop = asyncio.get_running_loop()
+        loop.call_later(work_s, self.end_due_runs)
+        if self.faults.deadly(task):
+            loop.call_later(self.faults.crash_delay_s, self._crash_by, run)
         return self._answer(200)
 
+    def _drop_runs(self) -> None:
+        for run in self.runs.values():
+            run.ended = _now()
+            run.how = 'crashed'
+        self.runs = {}
+
+    def _crash_by(self, run: StandinRun) -> None:
+        if self.runs.get(run.task) is run:
+            self.crash()
+
     async def _stop(self, fields: dict[str, Any]) -> web.Response:
         self.end_due_runs()
         task, number = fields['task'], fields['run']
