End the runs of a crashed executor at once

Callers saw the jobs beside a deadly task end late: a crash was known after 33 ms, but its runs counted as active until their lease expired, 0.94 s later. The lease bounds what a worker cannot know of an executor that is cut off. A refused connection is different: worker and executor share a machine, so no process listens there and the runs have ended with it. After two refusals 30 ms apart the runs now end, as `crashed`; silence and reset connections still wait for the lease.

test_neighbours_run_elsewhere_at_once failed before (KNOWN-RED) and passes.

--- a/src/limpetlanding/platform/tests/test_executor_crashes.py
+++ b/src/limpetlanding/platform/tests/test_executor_crashes.py
@@ -123,7 +123,6 @@
 class TestNeighbours:
     """Guards against jobs that suffer from a deadly task of another job."""
 
-    @KNOWN_RED
     async def test_neighbours_run_elsewhere_at_once(self):
         async with System(worker_count=2).run() as system:
             await make_patient(system)
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -282,8 +282,7 @@
             peer=known.incarnation if known else '',
             runs=len(self.runs),
         ).info('executor lost: {}', why)
-        # A draining executor ends on its own.
-        if crashed and known is not None and not known.draining:
+        if crashed and known is not None:
             self._end_lost_runs(is_certain=True)
         self.executor = None
         self.reachable = False
@@ -295,6 +294,11 @@
     def _end_lost_runs(self, is_certain: bool) -> None:
         """End all runs, because the executor has crashed or is silent."""
         ended = list(self.runs.values())
+        if self.executor.draining:
+            # It ends on its own.
+            for held in ended:
+                self._finish(held, RunEnd.LAPSED)
+            return
         self.lost_runs += ended
         is_news = ended or (is_certain and not self.loss_is_certain)
         if self.lost_runs and is_news:
@@ -445,9 +449,10 @@
         await asyncio.sleep(RETRY_PAUSE_S)
 
     def _end_lapsed_runs(self) -> None:
-        if self.clock.is_past(self.last_lease_ms, self.loop.time()):
-            is_down = self.refused_connections >= MIN_REFUSED_CONNECTIONS
-            self._end_lost_runs(is_certain=is_down)
+        if self.refused_connections >= MIN_REFUSED_CONNECTIONS:
+            self._end_lost_runs(is_certain=True)
+        elif self.clock.is_past(self.last_lease_ms, self.loop.time()):
+            self._end_lost_runs(is_certain=False)
 
     def _apply_inventory(self, inventory: Inventory, sent: float) -> None:
         now = self.loop.time()
