Test executors whose capacity changes while they run

The tests found no fault: a worker adopts the capacity of the latest announcement, ignores late ones, and records each change, so that it keeps to a smaller capacity after a restart as well.

--- /dev/null
+++ b/src/limpetlanding/platform/tests/test_capacity_changes.py
@@ -0,0 +1,96 @@
+"""End-to-end tests of executors whose capacity changes while they run."""
+
+import asyncio
+
+from limpetlanding.platform.tests.rig import HEARTBEAT_INTERVAL_S, System, body
+from limpetlanding.standin.platform_checks import peak_cpu
+
+CPU_PER_TASK = 3000
+CPU = 32_000
+SHRUNK_CPU = 7000
+WAIT_MS = 20_000
+
+
+async def change_capacity(system, cpu):
+    """Change the capacity of the executor and wait for its announcement."""
+    system.executors[0].cpu = cpu
+    await asyncio.sleep(HEARTBEAT_INTERVAL_S + 0.1)
+
+
+async def peak_cpu_of_jobs(system, prefix, work_s=0.1):
+    """Run 8 jobs of 4 tasks each; return the highest CPU use meanwhile."""
+    executor = system.executors[0]
+    executor.work_s = lambda _: work_s
+    executor.history.clear()
+    jobs = (
+        system.submit(f'{prefix}{number:015x}', body(4), WAIT_MS)
+        for number in range(8)
+    )
+    answers = await asyncio.gather(*jobs)
+    assert {status for status, _ in answers} <= {200, 503}
+    assert executor.history
+    return peak_cpu(executor, CPU_PER_TASK)
+
+
+class TestCapacityChanges:
+    """Guards against starts beyond a capacity that has shrunk."""
+
+    async def test_starts_keep_to_a_capacity_that_has_shrunk(self):
+        async with System(worker_count=1).run() as system:
+            await change_capacity(system, SHRUNK_CPU)
+            assert await peak_cpu_of_jobs(system, 'a') <= SHRUNK_CPU
+
+    async def test_runs_from_before_the_change_still_count(self):
+        async with System(worker_count=1).run() as system:
+            executor = system.executors[0]
+            executor.work_s = lambda _: 3
+            before = [
+                asyncio.create_task(
+                    system.submit(f'{number:016x}', body(1), WAIT_MS)
+                )
+                for number in range(3)
+            ]
+            await asyncio.sleep(0.2)
+            await change_capacity(system, SHRUNK_CPU)
+            job = asyncio.create_task(
+                system.submit('a' * 16, body(1), wait_ms=1000)
+            )
+            assert (await job)[0] == 503
+            assert len(executor.history) == 3
+            await asyncio.gather(*before)
+
+    async def test_capacity_that_has_grown_again_is_used(self):
+        async with System(worker_count=1).run() as system:
+            await change_capacity(system, SHRUNK_CPU)
+            await change_capacity(system, CPU)
+            peak = await peak_cpu_of_jobs(system, 'a', 0.3)
+            assert SHRUNK_CPU < peak <= CPU
+
+    async def test_restarted_worker_keeps_to_a_capacity_that_has_shrunk(self):
+        # The record in the store must follow the change.
+        async with System(worker_count=1).run() as system:
+            await change_capacity(system, SHRUNK_CPU)
+            system.heartbeats.pop().cancel()
+            await system.kill('w0')
+            await system.start_worker(0, incarnation=2)
+            await system.settle(0.5)
+            assert await peak_cpu_of_jobs(system, 'a') <= SHRUNK_CPU
+
+    async def test_change_is_recorded_after_the_store_was_away(self):
+        async with System(worker_count=1).run() as system:
+            system.store.faults.status = 503
+            await change_capacity(system, SHRUNK_CPU)
+            system.store.faults.status = None
+            await asyncio.sleep(2 * HEARTBEAT_INTERVAL_S)
+            system.heartbeats.pop().cancel()
+            await system.kill('w0')
+            await system.start_worker(0, incarnation=2)
+            await system.settle(0.5)
+            assert await peak_cpu_of_jobs(system, 'a') <= SHRUNK_CPU
+
+    async def test_late_announcement_of_the_old_capacity_is_ignored(self):
+        async with System(worker_count=1).run() as system:
+            late = system.executors[0].announcement()
+            await change_capacity(system, SHRUNK_CPU)
+            await system.announce(0, late)
+            assert await peak_cpu_of_jobs(system, 'a') <= SHRUNK_CPU
