Give up tasks that crash the executors that start them

Cause: the end of a run by a lost executor counted for nothing. The limit for tasks that crash executors (MAX_SUSPECT_FAILURES) was only reached by runs that had failed or stalled, and its count ended with the job's front.

- A worker names the tasks of a crashed executor, and those started shortly before.
All fronts remember it for two minutes and tell new ones.
- A task is given up after two crashes at its start or four at any time, and the job is answered as failed, as are later submissions of it.
Silent executors count only together: four losses in all.
- A suspect job is tried apart from the starts of other jobs and where few resources are in use, so that the second crash shows its cause.
It waits if other jobs find no room, and is given up when its answer is of no more use.

One bound differs from the committed test: a task that crashes its executor late, 0.5 s after its start, may be started up to five times, which is the limit of the platform, instead of three: its neighbours cannot be told from it sooner.

--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -17,6 +17,7 @@
 
 from limpetlanding.errors import LimpetlandingError, PeerLost
 from limpetlanding.runs.background import BackgroundTasks
+from limpetlanding.runs.crashes import Crash, CrashLedger, jobs_of
 from limpetlanding.runs.fleet import Fleet, WorkerView
 from limpetlanding.runs.jobs import (
     MAX_SUSPECT_FAILURES,
@@ -25,7 +26,11 @@
 )
 from limpetlanding.runs.model import Job, JobState, Queue, Resources, RunEnd
 from limpetlanding.runs.placement import Assignment, Pool, urgency
-from limpetlanding.runs.refusal import is_hopeless, retry_after_s
+from limpetlanding.runs.refusal import (
+    is_hopeless,
+    is_hopeless_trial,
+    retry_after_s,
+)
 from limpetlanding.runs.supervisor import LEASE_MS
 from limpetlanding.wire import Channel
 from limpetlanding.wire.run_messages import (
@@ -119,6 +124,7 @@
         self.jobs: dict[str, ActiveJob] = {}
         self.ended_jobs: dict[str, ActiveJob] = {}
         self.cancelled: set[str] = set()
+        self.crashes = CrashLedger()
         self.placement_needed = asyncio.Event()
         self.shortage_at = -inf
         self.lost_at: dict[Channel, float] = {}
@@ -180,6 +186,8 @@
             await self._wait_for_earlier(job.job_id)
         active = self.jobs.get(job.job_id)
         if active is None:
+            if self._has_deadly_task(job.job_id):
+                return JobState.FAILED
             active = self._add_job(job, queue, wait_s, version)
         active.waiting_clients += 1
         answer = 'client gone'
@@ -287,6 +295,41 @@
             self._run_ended(view, outcome)
         self.handle_report(channel, message.report)
 
+    def handle_crash(self, crash: Crash, age_s: float) -> bool:
+        """Record a crash, and give up jobs whose tasks have caused too many.
+
+        Parameters
+        ----------
+        crash : Crash
+            The crash.
+        age_s : float
+            Time since the crash, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the crash was not known.
+        """
+        is_new = self.crashes.record(crash, self.loop.time() - age_s)
+        for job_id in jobs_of(crash) & self.jobs.keys():
+            active = self.jobs[job_id]
+            if self._has_deadly_task(job_id) and not active.outcome.done():
+                active.outcome.set_result(JobState.FAILED)
+        return is_new
+
+    def _has_deadly_task(self, job_id: str) -> bool:
+        task = self.crashes.deadly_task(job_id)
+        if not task:
+            return False
+        self.counts['jobs_deadly'] += 1
+        logger.bind(
+            request_id=job_id,
+            step='crash',
+            task=task,
+            losses=str(self.crashes.losses[job_id][task]),
+        ).info('job given up: its task crashes executors')
+        return True
+
     async def _wait_for_earlier(self, job_id: str) -> None:
         earlier = self.ended_jobs.get(job_id)
         if earlier is None or not earlier.placed:
@@ -391,26 +434,50 @@
 
     def _place_waiting(self) -> None:
         now = self.loop.time()
-        jobs = [active for active in self.jobs.values() if active.waiting]
+        jobs = [
+            active
+            for active in self.jobs.values()
+            if active.waiting and not active.outcome.done()
+        ]
         names = Counter(active.queue.pool for active in jobs)
         pools = {name: Pool(self.fleet, name) for name in names}
         jobs.sort(
             key=lambda x: urgency(now, x, pools[x.queue.pool].lowest_run_ratio)
         )
+        suspects = {
+            active: None
+            for active in jobs
+            if self.crashes.is_suspect(active.job.job_id)
+        }
         for active in jobs:
-            pool = pools[active.queue.pool]
-            if is_hopeless(active, now, pool.lowest_run_ratio):
-                self._refuse(active)
-                continue
-            try:
-                chosen, left = pool.assign(active, now)
-            except Exception as error:
-                self._fail_placement(active, error)
-                continue
-            active.waiting = left
-            if left:
-                self.shortage_at = now
-            self._send_orders(active, chosen)
+            if active not in suspects:
+                self._place(active, pools[active.queue.pool], now)
+        for active in suspects:
+            self._try_suspect(active, pools[active.queue.pool], now)
+
+    def _place(
+        self, active: ActiveJob, pool: Pool, now: float, is_trial: bool = False
+    ) -> None:
+        if is_hopeless(active, now, pool.lowest_run_ratio):
+            self._refuse(active)
+            return
+        try:
+            chosen, left = pool.assign(active, now, is_trial)
+        except Exception as error:
+            self._fail_placement(active, error)
+            return
+        active.waiting = left
+        if left:
+            pool.has_shortage = True
+            self.shortage_at = now
+        self._send_orders(active, chosen, is_trial)
+
+    def _try_suspect(self, active: ActiveJob, pool: Pool, now: float) -> None:
+        """Place a job that may crash its executors, if no other job waits."""
+        if is_hopeless_trial(active, now, pool.lowest_run_ratio):
+            self._refuse(active)
+        elif not pool.has_shortage:
+            self._place(active, pool, now, is_trial=True)
 
     def _refuse(self, active: ActiveJob) -> None:
         self.counts['jobs_hopeless'] += 1
@@ -433,15 +500,23 @@
         if not active.outcome.done():
             active.outcome.set_exception(self._unfinished_error(active))
 
-    def _send_orders(self, active: ActiveJob, chosen: Assignment) -> None:
+    def _send_orders(
+        self, active: ActiveJob, chosen: Assignment, is_trial: bool
+    ) -> None:
         if chosen and active.first_ordered_at is None:
             active.first_ordered_at = self.loop.time()
         active.unanswered_orders += len(chosen)
         for view, tasks in chosen.items():
-            self.background.spawn(self._send_order(active, view, tasks))
+            self.background.spawn(
+                self._send_order(active, view, tasks, is_trial)
+            )
 
     async def _send_order(
-        self, active: ActiveJob, view: WorkerView, tasks: list[ActiveTask]
+        self,
+        active: ActiveJob,
+        view: WorkerView,
+        tasks: list[ActiveTask],
+        is_trial: bool,
     ) -> None:
         keys = {task.name: run_key(task.name, task.run) for task in tasks}
         message = StartRuns(
@@ -449,6 +524,7 @@
             active.queue.pool,
             active.job.spec,
             [_run_order(task) for task in tasks],
+            is_trial,
         )
         self.counts['orders'] += 1
         logger.bind(
@@ -456,6 +532,7 @@
             step='order',
             peer=view.name,
             tasks=len(tasks),
+            trial=is_trial,
             free_cpu=view.free.cpu,
             run_ratio=round(view.report.run_ratio, 2),
             report_age_ms=round((self.loop.time() - view.reported_at) * 1000),
@@ -533,7 +610,7 @@
         if task is None:
             return
         active = task.job
-        how = RunEnd(outcome.how)
+        how = _run_end(outcome.how)
         self.counts[f'runs_{how.value}'] += 1
         if how is RunEnd.DONE:
             view.runs.pop(key)
@@ -619,6 +696,14 @@
     """Do nothing; used until the metrics are set up."""
 
 
+def _run_end(how: str) -> RunEnd:
+    try:
+        return RunEnd(how)
+    except ValueError:
+        # A peer of a newer build may know further ends.
+        return RunEnd.LAPSED
+
+
 def _unfinished_answer(active: ActiveJob) -> str:
     return 'given up' if active.has_run else 'not run'
 
--- a/src/limpetlanding/runs/fleet.py
+++ b/src/limpetlanding/runs/fleet.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from limpetlanding.runs.model import Resources, Step
+from limpetlanding.runs.trials import StartTimes
 from limpetlanding.wire import Channel
 from limpetlanding.wire.run_messages import WorkerReport
 
@@ -43,6 +44,8 @@
     reported_at: float
     pending_needs: dict[str, Resources] = field(default_factory=dict)
     runs: dict[str, object] = field(default_factory=dict)
+    # The latest order of this front.
+    starts: StartTimes = field(default_factory=StartTimes)
     # Reported free resources minus those of `pending_needs`.
     free: Resources = field(init=False)
 
--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -13,6 +13,11 @@
 from limpetlanding.runs.background import errors_logged
 from limpetlanding.runs.backoff import follow_stream
 from limpetlanding.runs.catalog import CatalogHolder
+from limpetlanding.runs.crash_reports import (
+    received_crash,
+    send_crash,
+    send_known_crashes,
+)
 from limpetlanding.runs.dispatcher import Dispatcher
 from limpetlanding.runs.fleet import Fleet
 from limpetlanding.runs.jobs import objective_s
@@ -22,6 +27,7 @@
 from limpetlanding.wire import Channel, Node
 from limpetlanding.wire.run_messages import (
     CatalogUpdate,
+    ExecutorCrashed,
     JobCancelled,
     KnownWorkers,
     RunsEnded,
@@ -78,6 +84,7 @@
             CatalogUpdate: self._handle_catalog_update,
             KnownWorkers: self._handle_known_workers,
             JobCancelled: self._handle_job_cancelled,
+            ExecutorCrashed: self._handle_crash,
         }
         node.handler = self.handle
         node.on_peer_up = self._peer_up
@@ -186,6 +193,17 @@
     ) -> None:
         self._cancel(message.job_id, channel.peer.node)
 
+    def _handle_crash(self, channel: Channel, message: ExecutorCrashed) -> None:
+        crash = received_crash(message)
+        age_s = message.age_ms / 1000
+        if not self.dispatcher.handle_crash(crash, age_s):
+            return
+        # A client may submit its job again at any front, and not all of them
+        # are linked to the worker.
+        for front in self.node.connected('front'):
+            if front is not channel:
+                send_crash(front, crash, age_s)
+
     def _apply_catalog(self, catalog: Catalog) -> None:
         self.catalogs.replace_if_newer(catalog, 'store')
 
@@ -256,6 +274,9 @@
         if self.catalogs.version:
             channel.notify(self.catalogs.update_message())
         if channel.peer.role == 'front':
+            send_known_crashes(
+                channel, self.dispatcher.crashes, self.loop.time()
+            )
             channel.notify(
                 _known_workers(list(self.subset.candidates.values()))
             )
--- a/src/limpetlanding/runs/placement.py
+++ b/src/limpetlanding/runs/placement.py
@@ -33,10 +33,12 @@
         self.fleet = fleet
         self.usable = fleet.usable(name)
         self.lowest_run_ratio = lowest_run_ratio(self.usable)
+        # Whether a job has found no room in this pass.
+        self.has_shortage = False
         self.max_free_cpu = max((x.free.cpu for x in self.usable), default=0)
 
     def assign(
-        self, active: ActiveJob, now: float
+        self, active: ActiveJob, now: float, is_trial: bool = False
     ) -> tuple[Assignment, list[ActiveTask]]:
         """Choose workers for the waiting tasks of a job.
 
@@ -48,6 +50,9 @@
             The job with the waiting tasks.
         now : float
             Current time, in monotonic seconds.
+        is_trial : bool
+            Whether the job may crash an executor. Its tasks go to the executors
+            that have the fewest resources in use.
 
         Returns
         -------
@@ -62,7 +67,9 @@
             else _max_run_ratio(now, active)
         )
         left = [
-            self._assign_step(active, tasks, now, max_run_ratio, chosen)
+            self._assign_step(
+                active, tasks, now, max_run_ratio, chosen, is_trial
+            )
             for tasks in _by_step(active.waiting)
         ]
         return chosen, list(chain.from_iterable(left))
@@ -74,11 +81,18 @@
         now: float,
         max_run_ratio: float,
         chosen: Assignment,
+        is_trial: bool,
     ) -> list[ActiveTask]:
         step = tasks[0].step
         if step.need.cpu > self.max_free_cpu:
             return tasks
-        ranked = self.fleet.ranked(step, self.usable, max_run_ratio)
+        ranked = [
+            view
+            for view in self.fleet.ranked(step, self.usable, max_run_ratio)
+            if not view.starts.refusal_reason(active.job.job_id, is_trial, now)
+        ]
+        if is_trial:
+            ranked.sort(key=_used_cpu)
         on_worker = Counter(
             other.worker
             for other in active.placed.values()
@@ -96,7 +110,9 @@
             view.runs[task.key] = task
             on_worker[view.name] += 1
             chosen[view].append(task)
-            if len(chosen[view]) % TASKS_PER_BATCH == 0:
+            view.starts.record(active.job.job_id, is_trial, now)
+            # Tasks on trial stay together, so that they crash few executors.
+            if not is_trial and len(chosen[view]) % TASKS_PER_BATCH == 0:
                 ranked.remove(view)
                 ranked.append(view)
         return left
@@ -125,6 +141,10 @@
     return (active.due_at - now) / longest_s if longest_s else inf
 
 
+def _used_cpu(view: WorkerView) -> int:
+    return view.capacity.cpu - view.free.cpu
+
+
 def _by_step(tasks: Iterable[ActiveTask]) -> list[list[ActiveTask]]:
     steps: dict[int, list[ActiveTask]] = defaultdict(list)
     for task in tasks:
--- a/src/limpetlanding/runs/ports.py
+++ b/src/limpetlanding/runs/ports.py
@@ -187,8 +187,8 @@
     address : str
         ``host:port`` at which the worker accepts links.
     capacity : Resources or None
-        Capacity of its executor, which does not change on one machine; None
-        if no executor has announced itself yet.
+        Capacity of its executor as last announced; None if no executor has
+        announced itself yet.
     failure_domain : str
         Failure domain of the machine; empty if the record does not state it.
     """
--- a/src/limpetlanding/runs/refusal.py
+++ b/src/limpetlanding/runs/refusal.py
@@ -58,6 +58,15 @@
     return now > last_useful_start(active, run_ratio)
 
 
+def is_hopeless_trial(active: ActiveJob, now: float, run_ratio: float) -> bool:
+    """Tell whether a job that may crash an executor cannot be of use any more.
+
+    Other than a job that has begun and is not suspect, it is not completed: its
+    next start may take an executor away from jobs that are of use.
+    """
+    return not active.placed and now > last_useful_start(active, run_ratio)
+
+
 def retry_after_s(waited_s: float, rng: Random) -> int:
     """Return the number of seconds after which a refused client may return.
 
--- a/src/limpetlanding/runs/registration.py
+++ b/src/limpetlanding/runs/registration.py
@@ -2,7 +2,7 @@
 
 Fronts find the worker by its record. A worker that has restarted takes the
 capacity of its executor from the record, because the next announcement of the
-executor may take 1.5 s.
+executor may take 1.5 s. Each change of the capacity is recorded.
 """
 
 import asyncio
--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -4,6 +4,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import replace
 from math import inf
 from typing import Any
 
@@ -12,12 +13,14 @@
 from limpetlanding.errors import LimpetlandingError
 from limpetlanding.runs.background import BackgroundTasks
 from limpetlanding.runs.catalog import CatalogHolder
-from limpetlanding.runs.crashes import Crash
+from limpetlanding.runs.crash_reports import send_crash, send_known_crashes
+from limpetlanding.runs.crashes import Crash, CrashLedger
 from limpetlanding.runs.model import Catalog, Resources, RunEnd
 from limpetlanding.runs.ports import Executor, ExecutorPort
 from limpetlanding.runs.seed_links import SeedLinks
 from limpetlanding.runs.supervisor import DEFAULT_STOP_DURATION_S, RunSupervisor
 from limpetlanding.runs.tracked_run import RunResult, TrackedRun
+from limpetlanding.runs.trials import StartTimes
 from limpetlanding.wire import Channel, Node
 from limpetlanding.wire.run_messages import (
     CatalogUpdate,
@@ -99,6 +102,8 @@
         self.counts: Counter[str] = Counter()
         # Losses of the executor with runs, by whether it surely crashed.
         self.loss_counts: Counter[str] = Counter()
+        self.crashes = CrashLedger()
+        self.starts = StartTimes()
         # Called with labels and the run time in seconds when a run has ended.
         self.on_run: Callable[[dict[str, str], float], None] = _ignore_run
         self.background = BackgroundTasks()
@@ -203,6 +208,9 @@
                 reason = refusal
             else:
                 taken.append(order.task)
+                self.starts.record(
+                    message.job_id, message.is_trial, self.loop.time()
+                )
                 self.supervisor.start(
                     _tracked_run(owner, message, order, self.supervisor.now())
                 )
@@ -232,7 +240,11 @@
             held.task == order.task for held in self.supervisor.runs.values()
         ):
             return 'another run of the task is here'
-        return self.supervisor.refusal_reason(_need(order))
+        return self.supervisor.refusal_reason(
+            _need(order)
+        ) or self.starts.refusal_reason(
+            message.job_id, message.is_trial, self.loop.time()
+        )
 
     def _stop(self, channel: Channel, message: StopRuns) -> None:
         held_runs = {
@@ -284,6 +296,10 @@
 
     def _executor_crashed(self, crash: Crash) -> None:
         self.loss_counts['crashed' if crash.is_certain else 'silent'] += 1
+        self.crashes.record(crash, self.loop.time())
+        # The ends of the runs follow on the same links.
+        for channel in self.node.connected('front'):
+            send_crash(channel, crash)
 
     def _run_ended(self, result: RunResult) -> None:
         held = result.held
@@ -322,6 +338,8 @@
             (x for x in self.node.channels if x.peer.incarnation == owner), None
         )
         if channel is not None and outcomes:
+            if not channel.peer.crash_reports:
+                outcomes = list(map(_without_crash, outcomes))
             self.background.spawn(
                 _send_ends(channel, RunsEnded(outcomes, self.report()))
             )
@@ -368,6 +386,7 @@
             channel.peer.incarnation
         )
         channel.notify(self.report())
+        send_known_crashes(channel, self.crashes, self.loop.time())
         if self.catalogs.version:
             channel.notify(self.catalogs.update_message())
 
@@ -390,6 +409,12 @@
     """Do nothing; used until the metrics are set up."""
 
 
+def _without_crash(outcome: RunOutcome) -> RunOutcome:
+    """Return the outcome as a build without reports of crashes knows it."""
+    is_crash = outcome.how == RunEnd.CRASHED
+    return replace(outcome, how=RunEnd.LAPSED) if is_crash else outcome
+
+
 def _need(order: RunOrder) -> Resources:
     return Resources(order.cpu, order.memory_mb, order.gpu)
 
--- a/src/limpetlanding/standin/platform_executor.py
+++ b/src/limpetlanding/standin/platform_executor.py
@@ -10,6 +10,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
+from weakref import WeakSet
 
 from aiohttp import web
 
@@ -73,6 +74,8 @@
         executor.
     crash_delay_s : float
         Time from the start of a deadly run to the crash, in seconds.
+    crashes_silently : bool
+        A crash leaves connections open, as if the machine had lost power.
     """
 
     silent: bool = False
@@ -83,6 +86,7 @@
     hides_stopping: bool = False
     deadly: Callable[[str], bool] = lambda task: False
     crash_delay_s: float = 0.01
+    crashes_silently: bool = False
 
 
 @dataclass(slots=True)
@@ -131,6 +135,7 @@
     history: list[StandinRun] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     crashed: asyncio.Event = field(default_factory=asyncio.Event)
+    transports: WeakSet[asyncio.Transport] = field(default_factory=WeakSet)
 
     def app(self) -> web.Application:
         """Return the application that serves the executor's calls."""
@@ -144,12 +149,18 @@
     def crash(self) -> None:
         """End all runs and answer nothing until the next restart."""
         self._drop_runs()
+        self.faults.silent = self.faults.crashes_silently
+        if not self.faults.silent:
+            for transport in self.transports:
+                transport.abort()
         self.crashed.set()
 
     def restart(self, executor_id: str) -> None:
         """Start another incarnation, which knows no run of the last one."""
         self._drop_runs()
-        self.crashed.clear()
+        if self.crashed.is_set():
+            self.crashed.clear()
+            self.faults.silent = False
         self.highest_run = {}
         self.ended_runs = []
         self.end_count = 0
@@ -197,6 +208,7 @@
 
     def _serve(self, handler: Any, is_order: bool) -> Any:
         async def serve(request: web.Request) -> web.StreamResponse:
+            self.transports.add(request.transport)
             fields = await request.json()
             expected = request.headers.get('X-Expect-Instance')
             if self.faults.silent:
--- a/src/limpetlanding/wire/run_messages.py
+++ b/src/limpetlanding/wire/run_messages.py
@@ -60,12 +60,17 @@
 @message('start')
 @dataclass(slots=True)
 class StartRuns:
-    """Front to worker: start these runs of one job if resources allow it."""
+    """Front to worker: start these runs of one job if resources allow it.
+
+    If ``is_trial``, they may crash the executor: no run of another job is
+    started shortly before or after them, so that a crash shows its cause.
+    """
 
     job_id: str
     pool: str
     spec: str
     orders: list[RunOrder]
+    is_trial: bool = False
 
 
 @message('taken')
@@ -98,6 +103,22 @@
     report: WorkerReport
 
 
+@message('crash')
+@dataclass(slots=True)
+class ExecutorCrashed:
+    """Worker or front to front: an executor has crashed or fallen silent.
+
+    The tasks are those that had runs there; ``recent_tasks`` were started
+    shortly before. ``is_certain`` is false if it is only silent so far.
+    """
+
+    crash_id: str
+    recent_tasks: list[str]
+    other_tasks: list[str]
+    is_certain: bool
+    age_ms: float = 0
+
+
 @message('stop')
 @dataclass(slots=True)
 class StopRuns:
