Crash executors and change their capacity in the soak and the random faults

The first task of each twentieth job is deadly now. Checked: at most five starts of such a task, and no start beyond the capacity, where a smaller one counts after contactMs and one heartbeat (3 s + 1.5 s).

--- a/src/limpetlanding/platform/tests/test_random_faults.py
+++ b/src/limpetlanding/platform/tests/test_random_faults.py
@@ -15,13 +15,18 @@
     body,
     config,
 )
-from limpetlanding.standin.platform_checks import overlapping_runs, peak_cpu
+from limpetlanding.standin.platform_checks import (
+    deadly_starts,
+    overlapping_runs,
+    starts_beyond_capacity,
+)
 
 JOB_COUNT = 60
 WORKER_COUNT = 3
 RESUBMIT_DELAY_S = 1.3
 STEP_S = 0.25
 CPU_PER_TASK = 6000
+DEADLY_TASKS = {f'{number:016x}.0.0.0' for number in range(0, JOB_COUNT, 20)}
 SEEDS = range(int(os.environ.get('RANDOM_SEEDS', '8')))
 
 
@@ -75,6 +80,8 @@
             self.fail_runs,
             self.stall_runs,
             self.restart_executor,
+            self.crash_executor,
+            self.change_capacity,
             self.restart_process,
             self.fail_store,
             self.publish_config,
@@ -112,6 +119,16 @@
         executor = self.system.executors[number]
         executor.restart(f'i-{number}-{executor.born_ms}')
 
+    async def crash_executor(self):
+        self.rng.choice(self.system.executors).crash()
+
+    async def change_capacity(self):
+        executor = self.rng.choice(self.system.executors)
+        whole = executor.cpu
+        executor.change_capacity(int(whole * self.rng.uniform(0.2, 0.8)))
+        await asyncio.sleep(self.rng.uniform(0.5, 6))
+        executor.change_capacity(whole)
+
     async def restart_process(self):
         name = self.rng.choice(list(self.incarnations))
         await self.system.kill(name)
@@ -140,6 +157,7 @@
         for executor in system.executors:
             executor.clock_rate = rng.uniform(0.98, 1)
             executor.work_s = lambda task: Random(task).uniform(0.05, 1.5)
+            executor.faults.deadly = lambda task: task in DEADLY_TASKS
         random_run = RandomRun(system, rng)
         async with asyncio.TaskGroup() as group:
             group.create_task(random_run.inject_faults())
@@ -148,8 +166,9 @@
         await system.settle(3)
         history = system.history()
         assert not overlapping_runs(history)
+        assert not deadly_starts(history)
         for executor in system.executors:
-            assert peak_cpu(executor, CPU_PER_TASK) <= executor.cpu
+            assert not starts_beyond_capacity(executor, CPU_PER_TASK)
             executor.end_due_runs()
             assert not executor.runs
         started = {run.task.partition('.')[0] for run in history}
--- a/src/limpetlanding/soak/seeded_run.py
+++ b/src/limpetlanding/soak/seeded_run.py
@@ -22,6 +22,9 @@
 """Period in which jobs are submitted. Faults begin at random intervals of at
 most an eighth of it, the last ones possibly after it."""
 
+DEADLY_JOBS = frozenset(f'{number:016x}' for number in range(0, JOBS, 20))
+"""Jobs whose first task crashes each executor that starts it."""
+
 MAX_FAULT_S = 3
 RECOVERY_S = 9
 """Time from the end of the faults and jobs to the recovery jobs, which are
@@ -206,6 +209,8 @@
             self.disturb_proxy,
             self.disturb_executor,
             self.restart_executor,
+            self.crash_executor,
+            self.change_capacity,
             self.disturb_store,
             self.change_configuration,
             self.change_settings,
@@ -287,6 +292,22 @@
         self.record_fault('restart', f'executor-{number}')
         executor.restart(f'i-{number}-{executor.born_ms}')
 
+    async def crash_executor(self, rng: Random) -> None:
+        """Crash one executor, which restarts after some time."""
+        number = rng.randrange(len(self.system.executors))
+        self.record_fault('crash', f'executor-{number}')
+        self.system.executors[number].crash()
+
+    async def change_capacity(self, rng: Random) -> None:
+        """Shrink the capacity of one executor for a while."""
+        number = rng.randrange(len(self.system.executors))
+        executor = self.system.executors[number]
+        self.record_fault('capacity', f'executor-{number}')
+        whole = executor.cpu
+        executor.change_capacity(int(whole * rng.uniform(0.2, 0.8)))
+        await asyncio.sleep(rng.uniform(1, 2 * MAX_FAULT_S))
+        executor.change_capacity(whole)
+
     async def disturb_store(self, rng: Random) -> None:
         """Switch on one fault of the store for a while."""
         faults = self.system.store.faults
@@ -356,6 +377,7 @@
         clocks = Random(f'{seed} {executor.executor_id}')
         executor.clock_rate = clocks.uniform(0.98, 1)
         executor.work_s = _work_s
+        executor.faults.deadly = _is_deadly
     async with system.run():
         return await SeededRun(seed, system).run()
 
@@ -364,5 +386,10 @@
     return Random(task).uniform(0.05, 1)
 
 
+def _is_deadly(task: str) -> bool:
+    job_id, _, place = task.partition('.')
+    return job_id in DEADLY_JOBS and place.endswith('.0')
+
+
 async def _wait_for_fault_end(rng: Random) -> None:
     await asyncio.sleep(rng.uniform(0.1, MAX_FAULT_S))
--- a/src/limpetlanding/soak/system.py
+++ b/src/limpetlanding/soak/system.py
@@ -37,6 +37,7 @@
 HEARTBEAT_INTERVAL_S = 1.5
 RETRY_S = 0.2
 SHUTDOWN_S = 0.1
+DOWN_S = 2
 CPU_PER_TASK = 6000
 
 
@@ -89,8 +90,11 @@
                 await stack.enter_async_context(
                     run_http_server(executor.app(), address, SHUTDOWN_S)
                 )
-                heartbeats = asyncio.create_task(self._send_heartbeats(number))
-                stack.callback(heartbeats.cancel)
+                for work in (
+                    self._send_heartbeats(number),
+                    self._restart_after_crashes(number),
+                ):
+                    stack.callback(asyncio.create_task(work).cancel)
             for proxy in self.proxies.values():
                 await proxy.start()
                 stack.push_async_callback(proxy.close)
@@ -162,7 +166,11 @@
         violations += [
             f'{executor.executor_id}: start beyond its room'
             for executor in self.executors
-            if platform_checks.peak_cpu(executor, CPU_PER_TASK) > executor.cpu
+            if platform_checks.starts_beyond_capacity(executor, CPU_PER_TASK)
+        ]
+        violations += [
+            f'{task} was started too often, though it crashes executors'
+            for task in platform_checks.deadly_starts(history)
         ]
         started = {run.task.partition('.')[0] for run in history}
         violations += [
@@ -236,10 +244,23 @@
         self.proxies[name] = Proxy(listen, target)
         return listen
 
+    async def _restart_after_crashes(self, number: int) -> None:
+        executor = self.executors[number]
+        proxy = self.proxies[f'executor-{number}']
+        while True:
+            await executor.crashed.wait()
+            await proxy.close()
+            await asyncio.sleep(DOWN_S)
+            executor.restart(f'i-{number}-{executor.born_ms}')
+            await proxy.start()
+
     async def _send_heartbeats(self, number: int) -> None:
         executor = self.executors[number]
         control = f'{self._host(2, number)}:{CONTROL_PORT}'
         while True:
+            if executor.crashed.is_set():
+                await asyncio.sleep(RETRY_S)
+                continue
             status = None
             with suppress(TimeoutError):
                 async with asyncio.timeout(1):
--- a/src/limpetlanding/standin/platform_checks.py
+++ b/src/limpetlanding/standin/platform_checks.py
@@ -1,5 +1,6 @@
 """Checks of the scheduling guarantees on runs of stand-in executors."""
 
+from collections import Counter
 from collections.abc import Iterable
 from itertools import combinations
 
@@ -8,6 +9,20 @@
     StandinRun,
 )
 
+CAPACITY_LAG_S = 4.5
+"""Time after which a capacity that has shrunk counts on the platform."""
+
+MAX_DEADLY_STARTS = 5
+"""Starts of a task that crashes its executors: three, and two after the third
+crash."""
+
+
+def deadly_starts(history: Iterable[StandinRun]) -> list[str]:
+    """Return the tasks that crashed executors and were started too often."""
+    started = Counter(run.task for run in history)
+    crashed = {run.task for run in history if run.is_deadly}
+    return sorted(x for x in crashed if started[x] > MAX_DEADLY_STARTS)
+
 
 def overlapping_runs(
     history: Iterable[StandinRun],
@@ -24,6 +39,45 @@
     ]
 
 
+def starts_beyond_capacity(
+    executor: StandinExecutor, cpu_per_run: int
+) -> list[StandinRun]:
+    """Return the runs whose start brought an executor beyond its capacity.
+
+    Parameters
+    ----------
+    executor : StandinExecutor
+        Executor whose history is read.
+    cpu_per_run : int
+        CPU that each run occupies, in thousandths of a core.
+    """
+    beyond = []
+    for run in executor.history:
+        running = sum(
+            other.started <= run.started
+            and (other.ended is None or other.ended > run.started)
+            for other in executor.history
+        )
+        if running * cpu_per_run > _capacity_at(executor, run.started):
+            beyond.append(run)
+    return beyond
+
+
+def _capacity_at(executor: StandinExecutor, at: float) -> int:
+    """Return the highest capacity that may be assumed at a time.
+
+    A capacity that has shrunk counts after `CAPACITY_LAG_S`, one that has grown
+    at once.
+    """
+    capacity = executor.cpu
+    for changed_at, before in reversed(executor.capacity_changes):
+        if at < changed_at:
+            capacity = before
+        elif at < changed_at + CAPACITY_LAG_S:
+            capacity = max(capacity, before)
+    return capacity
+
+
 def peak_cpu(executor: StandinExecutor, cpu_per_run: int) -> int:
     """Return the highest CPU use at any time, in thousandths of a core.
 
--- a/src/limpetlanding/standin/platform_executor.py
+++ b/src/limpetlanding/standin/platform_executor.py
@@ -40,6 +40,8 @@
         Reason of the end, by the platform's name; empty while active.
     stopping : bool
         Whether a stop was ordered.
+    is_deadly : bool
+        Whether the run crashes its executor.
     """
 
     task: str
@@ -49,6 +51,7 @@
     ended: float | None = None
     how: str = ''
     stopping: bool = False
+    is_deadly: bool = False
 
 
 @dataclass(slots=True)
@@ -133,6 +136,8 @@
     hold_calls: int = 0
     draining: bool = False
     history: list[StandinRun] = field(default_factory=list)
+    # Changes of the capacity: the time, and the capacity before it.
+    capacity_changes: list[tuple[float, int]] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     crashed: asyncio.Event = field(default_factory=asyncio.Event)
     transports: WeakSet[asyncio.Transport] = field(default_factory=WeakSet)
@@ -146,6 +151,11 @@
         app.router.add_post('/api/hold', self._serve(self._hold, False))
         return app
 
+    def change_capacity(self, cpu: int) -> None:
+        """Change the capacity; the next announcement states it."""
+        self.capacity_changes.append((_now(), self.cpu))
+        self.cpu = cpu
+
     def crash(self) -> None:
         """End all runs and answer nothing until the next restart."""
         self._drop_runs()
@@ -263,13 +273,14 @@
         work_s = 3600 if self.faults.stalls else self.work_s(task)
         if self.faults.fails:
             work_s = 0.001
-        run = StandinRun(task, number, _now(), work_s)
+        is_deadly = self.faults.deadly(task)
+        run = StandinRun(task, number, _now(), work_s, is_deadly=is_deadly)
         self.runs[task] = run
         self.highest_run[task] = number
         self.history.append(run)
         loop = asyncio.get_running_loop()
         loop.call_later(work_s, self.end_due_runs)
-        if self.faults.deadly(task):
+        if is_deadly:
             loop.call_later(self.faults.crash_delay_s, self._crash_by, run)
         return self._answer(200)
 
