Do not give up tasks because executors were silent for a while

A task under which four executors had fallen silent was given up, and its job answered as failed, even if all of them answered again and none had crashed.

Cause: a report of a silent executor was never withdrawn, and counted like a crash for two minutes once four had come together.

Change: the report of a loss has a kind, silent, crashed or answered, which only rises. A worker whose executor answers again in the same incarnation says so. A task is given up if two executors have surely crashed under it; with four losses of which some are open, it is not started until they are known, and its client is told that the job may have run if that takes too long.

What a worker knows of the losses of its executor is a module of its own; crashes.py and crash_reports.py are losses.py and loss_reports.py.

--- a/src/limpetlanding/platform/roles.py
+++ b/src/limpetlanding/platform/roles.py
@@ -192,7 +192,7 @@
         settings.client_address,
         settings.region,
         slow_heartbeats=True,
-        crash_reports=True,
+        loss_reports=True,
     )
     node = Node(
         hello, _no_handler, NodeOptions(timing=LINK_TIMING, clock=_boottime_s)
--- a/src/limpetlanding/platform/tests/rig.py
+++ b/src/limpetlanding/platform/tests/rig.py
@@ -73,7 +73,7 @@
         'z1',
         f'127.0.0.1:{LINK_PORT + number}',
         '',
-        crash_reports=True,
+        loss_reports=True,
     )
     return Node(hello, None, NodeOptions(timing=LINK_TIMING, rng=Random(1)))
 
--- a/src/limpetlanding/platform/tests/test_executor_crashes.py
+++ b/src/limpetlanding/platform/tests/test_executor_crashes.py
@@ -174,6 +174,17 @@
             assert system.crash_count <= 2 * len(deadly)
 
 
+async def next_active(system, start_count):
+    """Wait for a further start; return its executor."""
+    async with asyncio.timeout(5):
+        while len(system.history()) <= start_count:
+            await asyncio.sleep(0.02)
+    (executor,) = [
+        x for x in system.executors if x.runs and not x.faults.silent
+    ]
+    return executor
+
+
 class TestSilentExecutor:
     """Guards against work that is given up because executors were silent."""
 
@@ -191,3 +202,34 @@
                 active[0].faults.silent = False
             assert await job == (200, {'state': 'completed'})
             assert not overlapping_runs(system.history())
+
+    async def test_job_survives_many_executors_that_answer_again(self):
+        async with System(worker_count=4).run() as system:
+            await make_patient(system)
+            for executor in system.executors:
+                executor.work_s = lambda _: 3
+            job = asyncio.create_task(system.submit(JOB, body(1), WAIT_MS))
+            silent = await next_active(system, 0)
+            for start_count in range(1, 5):
+                silent.faults.silent = True
+                following = await next_active(system, start_count)
+                silent.faults.silent = False
+                silent = following
+            assert await job == (200, {'state': 'completed'})
+            assert not overlapping_runs(system.history())
+
+    async def test_job_waits_while_it_is_open_whether_executors_crashed(self):
+        async with System(worker_count=6).run() as system:
+            await make_patient(system)
+            for executor in system.executors:
+                executor.work_s = lambda _: 3
+            job = asyncio.create_task(system.submit(JOB, body(1), WAIT_MS))
+            for start_count in range(4):
+                executor = await next_active(system, start_count)
+                executor.faults.silent = True
+            await asyncio.sleep(3)
+            assert len(system.history()) == 4
+            for executor in system.executors:
+                executor.faults.silent = False
+            assert await job == (200, {'state': 'completed'})
+            assert not overlapping_runs(system.history())
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -17,13 +17,13 @@
 
 from limpetlanding.errors import LimpetlandingError, PeerLost
 from limpetlanding.runs.background import BackgroundTasks
-from limpetlanding.runs.crashes import Crash, CrashLedger, jobs_of
 from limpetlanding.runs.fleet import Fleet, WorkerView
 from limpetlanding.runs.jobs import (
     MAX_SUSPECT_FAILURES,
     ActiveJob,
     ActiveTask,
 )
+from limpetlanding.runs.losses import ExecutorLoss, LossLedger, jobs_of
 from limpetlanding.runs.model import Job, JobState, Queue, Resources, RunEnd
 from limpetlanding.runs.placement import Assignment, Pool, urgency
 from limpetlanding.runs.refusal import (
@@ -124,7 +124,7 @@
         self.jobs: dict[str, ActiveJob] = {}
         self.ended_jobs: dict[str, ActiveJob] = {}
         self.cancelled: set[str] = set()
-        self.crashes = CrashLedger()
+        self.losses = LossLedger()
         self.placement_needed = asyncio.Event()
         self.shortage_at = -inf
         self.lost_at: dict[Channel, float] = {}
@@ -295,30 +295,32 @@
             self._run_ended(view, outcome)
         self.handle_report(channel, message.report)
 
-    def handle_crash(self, crash: Crash, age_s: float) -> bool:
-        """Record a crash, and give up jobs whose tasks have caused too many.
+    def handle_loss(self, loss: ExecutorLoss, age_s: float) -> bool:
+        """Record a loss, and give up jobs whose tasks have caused too many.
 
         Parameters
         ----------
-        crash : Crash
-            The crash.
+        loss : ExecutorLoss
+            The loss.
         age_s : float
-            Time since the crash, in seconds.
+            Time since the loss, in seconds.
 
         Returns
         -------
         bool
-            Whether the crash was not known.
+            Whether the report told something new.
         """
-        is_new = self.crashes.record(crash, self.loop.time() - age_s)
-        for job_id in jobs_of(crash) & self.jobs.keys():
+        is_new = self.losses.record(loss, self.loop.time() - age_s)
+        # Jobs that were paused may go on.
+        self.placement_needed.set()
+        for job_id in jobs_of(loss) & self.jobs.keys():
             active = self.jobs[job_id]
             if self._has_deadly_task(job_id) and not active.outcome.done():
                 active.outcome.set_result(JobState.FAILED)
         return is_new
 
     def _has_deadly_task(self, job_id: str) -> bool:
-        task = self.crashes.deadly_task(job_id)
+        task = self.losses.deadly_task(job_id)
         if not task:
             return False
         self.counts['jobs_deadly'] += 1
@@ -326,7 +328,7 @@
             request_id=job_id,
             step='crash',
             task=task,
-            losses=str(self.crashes.losses[job_id][task]),
+            losses=str(self.losses.by_job[job_id][task]),
         ).info('job given up: its task crashes executors')
         return True
 
@@ -447,7 +449,7 @@
         suspects = {
             active: None
             for active in jobs
-            if self.crashes.is_suspect(active.job.job_id)
+            if self.losses.is_suspect(active.job.job_id)
         }
         for active in jobs:
             if active not in suspects:
@@ -476,7 +478,9 @@
         """Place a job that may crash its executors, if no other job waits."""
         if is_hopeless_trial(active, now, pool.lowest_run_ratio):
             self._refuse(active)
-        elif not pool.has_shortage:
+        elif not (
+            pool.has_shortage or self.losses.is_paused(active.job.job_id)
+        ):
             self._place(active, pool, now, is_trial=True)
 
     def _refuse(self, active: ActiveJob) -> None:
--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -13,21 +13,21 @@
 from limpetlanding.runs.background import errors_logged
 from limpetlanding.runs.backoff import follow_stream
 from limpetlanding.runs.catalog import CatalogHolder
-from limpetlanding.runs.crash_reports import (
-    received_crash,
-    send_crash,
-    send_known_crashes,
-)
 from limpetlanding.runs.dispatcher import Dispatcher
 from limpetlanding.runs.fleet import Fleet
 from limpetlanding.runs.jobs import objective_s
+from limpetlanding.runs.loss_reports import (
+    received_loss,
+    send_known_losses,
+    send_loss,
+)
 from limpetlanding.runs.model import Catalog, Job, Queue
 from limpetlanding.runs.ports import StorePort, WorkerRecord
 from limpetlanding.runs.subset import Candidate, WorkerSubset
 from limpetlanding.wire import Channel, Node
 from limpetlanding.wire.run_messages import (
     CatalogUpdate,
-    ExecutorCrashed,
+    ExecutorLost,
     JobCancelled,
     KnownWorkers,
     RunsEnded,
@@ -84,7 +84,7 @@
             CatalogUpdate: self._handle_catalog_update,
             KnownWorkers: self._handle_known_workers,
             JobCancelled: self._handle_job_cancelled,
-            ExecutorCrashed: self._handle_crash,
+            ExecutorLost: self._handle_loss,
         }
         node.handler = self.handle
         node.on_peer_up = self._peer_up
@@ -193,16 +193,15 @@
     ) -> None:
         self._cancel(message.job_id, channel.peer.node)
 
-    def _handle_crash(self, channel: Channel, message: ExecutorCrashed) -> None:
-        crash = received_crash(message)
-        age_s = message.age_ms / 1000
-        if not self.dispatcher.handle_crash(crash, age_s):
+    def _handle_loss(self, channel: Channel, message: ExecutorLost) -> None:
+        received = received_loss(message)
+        if received is None or not self.dispatcher.handle_loss(*received):
             return
         # A client may submit its job again at any front, and not all of them
         # are linked to the worker.
         for front in self.node.connected('front'):
             if front is not channel:
-                send_crash(front, crash, age_s)
+                send_loss(front, *received)
 
     def _apply_catalog(self, catalog: Catalog) -> None:
         self.catalogs.replace_if_newer(catalog, 'store')
@@ -274,9 +273,7 @@
         if self.catalogs.version:
             channel.notify(self.catalogs.update_message())
         if channel.peer.role == 'front':
-            send_known_crashes(
-                channel, self.dispatcher.crashes, self.loop.time()
-            )
+            send_known_losses(channel, self.dispatcher.losses, self.loop.time())
             channel.notify(
                 _known_workers(list(self.subset.candidates.values()))
             )
--- a/src/limpetlanding/runs/crashes.py
+++ b/src/limpetlanding/runs/losses.py
@@ -1,4 +1,4 @@
-"""Crashes of executors, and the tasks that had runs there.
+"""Losses of executors, and the tasks that had runs there.
 
 A task that crashes the executors that start it would take them away one after
 another, with all tasks beside it. The decisions here answer that load: which
@@ -8,6 +8,7 @@
 from collections import defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass
+from enum import IntEnum
 from itertools import chain
 
 RECENT_START_S = 0.05
@@ -15,7 +16,6 @@
 the last answer of its executor, or later. An executor starts about 20 tasks a
 second, so that one other task is within it by coincidence."""
 
-
 MAX_RECENT_CRASHES = 2
 """Crashes shortly after a start of a task, from which on it is not started
 again. The platform allows a job to be given up after two."""
@@ -28,37 +28,52 @@
 """Crashes under a task that was not started shortly before, up to which it is
 no more suspect than the other tasks there."""
 
+MIN_CERTAIN_CRASHES = 2
+"""Crashes under a task below which it is not given up, however many executors
+have fallen silent under it."""
+
 MAX_LOSSES = 4
-"""Executors that crashed or fell silent under a task from which on it is not
-started again. A single silent executor says nothing of its tasks."""
+"""Executors that crashed or are silent under a task from which on it is not
+started for the time being. It is given up if enough of them have crashed."""
 
 RETENTION_S = 120
-"""How long a crash is remembered. Clients wait for seconds, and submit a job
+"""How long a loss is remembered. Clients wait for seconds, and submit a job
 again soon after a lost answer."""
 
-MAX_REMEMBERED_CRASHES = 1000
+MAX_REMEMBERED_LOSSES = 1000
+
+
+class LossKind(IntEnum):
+    """What is known of the loss of an executor; later knowledge is higher.
+
+    An executor that has answered again had not crashed.
+    """
+
+    SILENT = 0
+    CRASHED = 1
+    ANSWERED = 2
 
 
 @dataclass(frozen=True, slots=True)
-class Crash:
-    """One crash of an executor.
+class ExecutorLoss:
+    """Loss of an executor that had runs.
 
     Parameters
     ----------
-    crash_id : str
-        Name of the crash, the same in all reports of it.
+    loss_id : str
+        Name of the loss, the same in all reports of it.
     recent_tasks : tuple of str
-        Tasks that were started shortly before the crash.
+        Tasks that were started shortly before the loss.
     other_tasks : tuple of str
         The other tasks that had runs at the executor.
-    is_certain : bool
-        False if the executor has only fallen silent so far.
+    kind : LossKind
+        What is known of the loss so far.
     """
 
-    crash_id: str
+    loss_id: str
     recent_tasks: tuple[str, ...] = ()
     other_tasks: tuple[str, ...] = ()
-    is_certain: bool = True
+    kind: LossKind = LossKind.CRASHED
 
 
 def is_recent_start(started_at: float | None, last_answer_at: float) -> bool:
@@ -92,7 +107,7 @@
     other : int
         Other crashes.
     silent : int
-        Executors that fell silent.
+        Executors that have fallen silent, and may have crashed.
 
     Examples
     --------
@@ -100,6 +115,8 @@
     False
     >>> TaskLosses(recent=2).is_deadly, TaskLosses(other=4).is_deadly
     (True, True)
+    >>> TaskLosses(silent=4).is_deadly, TaskLosses(silent=4).is_paused
+    (False, True)
     """
 
     recent: int = 0
@@ -109,7 +126,9 @@
     @property
     def is_suspect(self) -> bool:
         """Whether the task is likely to be the cause of a crash."""
-        return self.recent > 0 or self.other > MAX_OTHER_CRASHES
+        return (
+            self.recent > 0 or self.other > MAX_OTHER_CRASHES or self.is_paused
+        )
 
     @property
     def is_deadly(self) -> bool:
@@ -118,66 +137,75 @@
         return (
             self.recent >= MAX_RECENT_CRASHES
             or crashes >= MAX_CRASHES
-            or crashes + self.silent >= MAX_LOSSES
+            or (crashes >= MIN_CERTAIN_CRASHES and self.is_paused)
         )
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the task waits until it is known which executors crashed."""
+        return self.recent + self.other + self.silent >= MAX_LOSSES
+
 
-class CrashLedger:
-    """The crashes that a process has learned of.
+class LossLedger:
+    """The losses of executors that a process has learned of.
 
     Examples
     --------
-    >>> ledger = CrashLedger()
-    >>> ledger.record(Crash('i-1/1', ('5c0e.0.0.1',)), at=10)
+    >>> ledger = LossLedger()
+    >>> ledger.record(ExecutorLoss('i-1/1', ('5c0e.0.0.1',)), at=10)
     True
-    >>> ledger.record(Crash('i-1/1', ('5c0e.0.0.1',)), at=11)
+    >>> ledger.record(ExecutorLoss('i-1/1', ('5c0e.0.0.1',)), at=11)
     False
     >>> ledger.is_suspect('5c0e'), ledger.deadly_task('5c0e')
     (True, '')
-    >>> ledger.record(Crash('i-2/1', ('5c0e.0.0.1',)), at=12)
+    >>> ledger.record(ExecutorLoss('i-2/1', ('5c0e.0.0.1',)), at=12)
     True
     >>> ledger.deadly_task('5c0e')
     '5c0e.0.0.1'
     """
 
     def __init__(self) -> None:
-        # Each crash with the time at which it occurred.
-        self.crashes: dict[str, tuple[Crash, float]] = {}
-        self.losses: dict[str, dict[str, TaskLosses]] = defaultdict(dict)
+        # Each loss with the time at which it occurred.
+        self.losses: dict[str, tuple[ExecutorLoss, float]] = {}
+        self.by_job: dict[str, dict[str, TaskLosses]] = defaultdict(dict)
 
-    def record(self, crash: Crash, at: float) -> bool:
-        """Store a crash; return whether it tells something new.
+    def record(self, loss: ExecutorLoss, at: float) -> bool:
+        """Store a loss; return whether the report tells something new.
 
         Parameters
         ----------
-        crash : Crash
-            The crash. It replaces a report of the same loss that was uncertain.
+        loss : ExecutorLoss
+            The loss. It replaces an earlier report that knew less.
         at : float
             When it occurred, in monotonic seconds.
         """
-        known, _ = self.crashes.get(crash.crash_id, (None, 0))
+        known, _ = self.losses.get(loss.loss_id, (None, 0))
         if known is not None:
-            if known.is_certain or not crash.is_certain:
+            if known.kind >= loss.kind:
                 return False
             self._count(known, -1)
-        self.crashes[crash.crash_id] = (crash, at)
-        self._count(crash, 1)
-        if len(self.crashes) > MAX_REMEMBERED_CRASHES:
-            self._remove(next(iter(self.crashes)))
+        self.losses[loss.loss_id] = (loss, at)
+        self._count(loss, 1)
+        if len(self.losses) > MAX_REMEMBERED_LOSSES:
+            self._remove(next(iter(self.losses)))
         return True
 
-    def known(self, now: float) -> Iterator[tuple[Crash, float]]:
-        """Yield each crash and its age in seconds; forget those too old."""
-        for crash, at in list(self.crashes.values()):
+    def known(self, now: float) -> Iterator[tuple[ExecutorLoss, float]]:
+        """Yield each loss and its age in seconds; forget those too old."""
+        for loss, at in list(self.losses.values()):
             if now - at > RETENTION_S:
-                self._remove(crash.crash_id)
+                self._remove(loss.loss_id)
             else:
-                yield crash, now - at
+                yield loss, now - at
 
     def is_suspect(self, job_id: str) -> bool:
         """Tell whether a task of a job is likely to have caused a crash."""
         return any(x.is_suspect for x in self._losses_of(job_id).values())
 
+    def is_paused(self, job_id: str) -> bool:
+        """Tell whether a task of a job is not to be started for now."""
+        return any(x.is_paused for x in self._losses_of(job_id).values())
+
     def deadly_task(self, job_id: str) -> str:
         """Return a task of a job that must not be started again, if any."""
         return next(
@@ -190,27 +218,27 @@
         )
 
     def _losses_of(self, job_id: str) -> dict[str, TaskLosses]:
-        return self.losses.get(job_id, {})
+        return self.by_job.get(job_id, {})
 
-    def _remove(self, crash_id: str) -> None:
-        crash, _ = self.crashes.pop(crash_id)
-        self._count(crash, -1)
-        for job_id in jobs_of(crash):
+    def _remove(self, loss_id: str) -> None:
+        loss, _ = self.losses.pop(loss_id)
+        self._count(loss, -1)
+        for job_id in jobs_of(loss):
             if not any(map(_is_counted, self._losses_of(job_id).values())):
-                self.losses.pop(job_id, None)
+                self.by_job.pop(job_id, None)
 
-    def _count(self, crash: Crash, change: int) -> None:
-        if crash.is_certain:
-            for task in crash.recent_tasks:
+    def _count(self, loss: ExecutorLoss, change: int) -> None:
+        if loss.kind is LossKind.CRASHED:
+            for task in loss.recent_tasks:
                 self._entry(task).recent += change
-            for task in crash.other_tasks:
+            for task in loss.other_tasks:
                 self._entry(task).other += change
-        else:
-            for task in chain(crash.recent_tasks, crash.other_tasks):
+        elif loss.kind is LossKind.SILENT:
+            for task in chain(loss.recent_tasks, loss.other_tasks):
                 self._entry(task).silent += change
 
     def _entry(self, task: str) -> TaskLosses:
-        return self.losses[job_of(task)].setdefault(task, TaskLosses())
+        return self.by_job[job_of(task)].setdefault(task, TaskLosses())
 
 
 def job_of(task: str) -> str:
@@ -224,9 +252,9 @@
     return task.partition('.')[0]
 
 
-def jobs_of(crash: Crash) -> set[str]:
-    """Return the ids of the jobs that had runs at a crashed executor."""
-    return set(map(job_of, chain(crash.recent_tasks, crash.other_tasks)))
+def jobs_of(loss: ExecutorLoss) -> set[str]:
+    """Return the ids of the jobs that had runs at a lost executor."""
+    return set(map(job_of, chain(loss.recent_tasks, loss.other_tasks)))
 
 
 def _is_counted(losses: TaskLosses) -> bool:
--- a/src/limpetlanding/runs/metrics.py
+++ b/src/limpetlanding/runs/metrics.py
@@ -122,7 +122,7 @@
     metrics.copy_counts(
         metrics.counter(
             'worker_executor_losses_total',
-            'Losses of the executor with runs: silent, and surely crashed.',
+            'Losses of the executor with runs, by what is known of them.',
         ),
         'kind',
         lambda: iter(worker.loss_counts.items()),
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -13,9 +13,10 @@
 from loguru import logger
 
 from limpetlanding.runs.background import BackgroundTasks
-from limpetlanding.runs.crashes import Crash, is_recent_start
 from limpetlanding.runs.executor_clock import ExecutorClock
+from limpetlanding.runs.executor_losses import ExecutorLosses
 from limpetlanding.runs.health import ExecutorHealth
+from limpetlanding.runs.losses import LossKind
 from limpetlanding.runs.model import Resources, RunEnd
 from limpetlanding.runs.ports import (
     CallTarget,
@@ -80,9 +81,6 @@
 
 MAX_START_ATTEMPTS = 3
 
-MAX_LOGGED_TASKS = 30
-"""Tasks that the log line of a crash names; an executor runs about 20."""
-
 RATIO_WEIGHT = 0.1
 """Weight of a new run in the moving average of run time over estimate. Single
 ratios vary by about 40% within each job."""
@@ -141,19 +139,14 @@
         self.reachable = False
         self.unanswered_inventories = 0
         self.refused_connections = 0
-        self.last_answer_at = self.loop.time()
-        # The current loss of the executor, and its runs that have ended because
-        # of it; empty while the executor answers.
-        self.loss_id = ''
-        self.loss_is_certain = False
-        self.lost_runs: list[TrackedRun] = []
-        self.on_crash: Callable[[Crash], None] = _ignore_crash
         # An order was not answered, and no inventory has been received since.
         self.order_unanswered = False
         # Orders of an earlier incarnation of this process may still arrive at
         # the executor, which rejects them because of this higher token. The
         # wall clock rises from one incarnation to the next.
         self.fence = int(time.time() * 1000)
+        # Incarnations of this process differ in the token.
+        self.losses = ExecutorLosses(str(self.fence), self.loop.time())
         self.stopping = False
         self.wake = asyncio.Event()
         self.no_runs_left = asyncio.Event()
@@ -216,6 +209,7 @@
         """Process the message of the executor that it shuts down."""
         known = self.executor
         if known is not None and known.executor_id == executor_id:
+            self.losses.end_silence(known.incarnation, self.loop.time())
             self._end_incarnation('the executor has left', crashed=False)
 
     def start(self, held: TrackedRun) -> None:
@@ -264,7 +258,8 @@
         self.acknowledged_by_executor = 0
         self.last_lease_ms = 0
         self.reachable = False
-        self._executor_answered()
+        self._reset_missing_answers()
+        self.losses.reset(self.loop.time())
         self.unknown_runs.clear()
         logger.bind(
             step='executor',
@@ -283,7 +278,7 @@
             runs=len(self.runs),
         ).info('executor lost: {}', why)
         if crashed and known is not None:
-            self._end_lost_runs(is_certain=True)
+            self._end_lost_runs(LossKind.CRASHED)
         self.executor = None
         self.reachable = False
         self.wake.set()
@@ -291,7 +286,7 @@
             self._finish(held, RunEnd.LAPSED)
         self.on_change()
 
-    def _end_lost_runs(self, is_certain: bool) -> None:
+    def _end_lost_runs(self, kind: LossKind) -> None:
         """End all runs, because the executor has crashed or is silent."""
         ended = list(self.runs.values())
         if self.executor.draining:
@@ -299,52 +294,17 @@
             for held in ended:
                 self._finish(held, RunEnd.LAPSED)
             return
-        self.lost_runs += ended
-        is_news = ended or (is_certain and not self.loss_is_certain)
-        if self.lost_runs and is_news:
-            self._report_crash(is_certain)
-        self.loss_is_certain = is_certain
-        for held in ended:
-            how = RunEnd.CRASHED if is_certain else RunEnd.LAPSED
-            self._finish(held, how, suspect=not is_certain)
-
-    def _report_crash(self, is_certain: bool) -> None:
-        incarnation = self.executor.incarnation
-        # Unique over incarnations of this process, which differ in the token.
-        self.loss_id = self.loss_id or (
-            f'{incarnation}/{self.fence}/{self.loop.time():.3f}'
-        )
-        recent = {held.task for held in self.lost_runs if self._is_recent(held)}
-        others = {held.task for held in self.lost_runs} - recent
-        crash = Crash(
-            self.loss_id,
-            tuple(sorted(recent)),
-            tuple(sorted(others)),
-            is_certain,
-        )
-        logger.bind(
-            step='executor',
-            peer=incarnation,
-            crash=crash.crash_id,
-            recent=crash.recent_tasks[:MAX_LOGGED_TASKS],
-            others=crash.other_tasks[:MAX_LOGGED_TASKS],
-            silent_ms=round(1000 * (self.loop.time() - self.last_answer_at)),
-        ).info(
-            'executor crashed' if is_certain else 'executor silent, runs lapsed'
+        self.losses.record_loss(
+            self.executor.incarnation, ended, kind, self.loop.time()
         )
-        self.on_crash(crash)
-
-    def _is_recent(self, held: TrackedRun) -> bool:
-        started_at = held.started_at if held.started else None
-        return is_recent_start(started_at, self.last_answer_at)
+        has_crashed = kind is LossKind.CRASHED
+        how = RunEnd.CRASHED if has_crashed else RunEnd.LAPSED
+        for held in ended:
+            self._finish(held, how, suspect=not has_crashed)
 
-    def _executor_answered(self) -> None:
-        self.last_answer_at = self.loop.time()
+    def _reset_missing_answers(self) -> None:
         self.unanswered_inventories = 0
         self.refused_connections = 0
-        self.loss_id = ''
-        self.loss_is_certain = False
-        self.lost_runs.clear()
 
     def _update(self, known: Executor, announced: Executor) -> None:
         self.executor = announced
@@ -450,14 +410,15 @@
 
     def _end_lapsed_runs(self) -> None:
         if self.refused_connections >= MIN_REFUSED_CONNECTIONS:
-            self._end_lost_runs(is_certain=True)
+            self._end_lost_runs(LossKind.CRASHED)
         elif self.clock.is_past(self.last_lease_ms, self.loop.time()):
-            self._end_lost_runs(is_certain=False)
+            self._end_lost_runs(LossKind.SILENT)
 
     def _apply_inventory(self, inventory: Inventory, sent: float) -> None:
         now = self.loop.time()
         self.clock.record(inventory.clock_ms, now)
-        self._executor_answered()
+        self._reset_missing_answers()
+        self.losses.end_silence(self.executor.incarnation, now)
         if self.order_unanswered:
             self.order_unanswered = False
             self.on_change()
@@ -531,7 +492,7 @@
             reply = await self._send_start(held, generation)
             if reply is None or held.key not in self.runs:
                 return
-            self.last_answer_at = self.loop.time()
+            self.losses.record_answer(self.loop.time())
             if reply.clock_ms is not None:
                 self.clock.record(reply.clock_ms, self.loop.time())
             if reply.refusal != 'expired':
@@ -618,7 +579,7 @@
         try:
             async with asyncio.timeout(EXECUTOR_CALL_TIMEOUT_S):
                 await self.port.stop(self.call_target(), task, run)
-                self.last_answer_at = self.loop.time()
+                self.losses.record_answer(self.loop.time())
         except (ExecutorUnavailable, FenceRejected, TimeoutError):
             await asyncio.sleep(RETRY_PAUSE_S)
             return False
@@ -664,10 +625,6 @@
             self.run_ratio += RATIO_WEIGHT * (ratio - self.run_ratio)
 
 
-def _ignore_crash(_crash: Crash) -> None:
-    """Do nothing; used until a callback is set."""
-
-
 def _run_end(held: TrackedRun, listed: RunEnd) -> RunEnd:
     if listed is RunEnd.STOPPED and held.requested_end is not None:
         return held.requested_end
--- a/src/limpetlanding/runs/trials.py
+++ b/src/limpetlanding/runs/trials.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from math import inf
 
-from limpetlanding.runs.crashes import RECENT_START_S
+from limpetlanding.runs.losses import RECENT_START_S
 
 
 @dataclass(slots=True)
--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -13,8 +13,8 @@
 from limpetlanding.errors import LimpetlandingError
 from limpetlanding.runs.background import BackgroundTasks
 from limpetlanding.runs.catalog import CatalogHolder
-from limpetlanding.runs.crash_reports import send_crash, send_known_crashes
-from limpetlanding.runs.crashes import Crash, CrashLedger
+from limpetlanding.runs.loss_reports import send_known_losses, send_loss
+from limpetlanding.runs.losses import ExecutorLoss, LossLedger
 from limpetlanding.runs.model import Catalog, Resources, RunEnd
 from limpetlanding.runs.ports import Executor, ExecutorPort
 from limpetlanding.runs.seed_links import SeedLinks
@@ -88,7 +88,7 @@
         self.supervisor = RunSupervisor(
             port, self._run_ended, self._schedule_report, stop_s, node.clock
         )
-        self.supervisor.on_crash = self._executor_crashed
+        self.supervisor.losses.on_loss = self._executor_lost
         self.catalogs = CatalogHolder(self._broadcast_catalog)
         self.queued_outcomes: dict[str, list[RunOutcome]] = defaultdict(list)
         self.blocked_starts: dict[str, float] = {}
@@ -100,9 +100,9 @@
         self.reported_state: tuple[str, bool, str] = ('', False, '')
         self.on_announce: Callable[[], None] = _ignore
         self.counts: Counter[str] = Counter()
-        # Losses of the executor with runs, by whether it surely crashed.
+        # Reports of losses of the executor with runs, by kind.
         self.loss_counts: Counter[str] = Counter()
-        self.crashes = CrashLedger()
+        self.losses = LossLedger()
         self.starts = StartTimes()
         # Called with labels and the run time in seconds when a run has ended.
         self.on_run: Callable[[dict[str, str], float], None] = _ignore_run
@@ -294,12 +294,12 @@
                 RunOutcome(task, int(run), RunEnd.LAPSED),
             )
 
-    def _executor_crashed(self, crash: Crash) -> None:
-        self.loss_counts['crashed' if crash.is_certain else 'silent'] += 1
-        self.crashes.record(crash, self.loop.time())
+    def _executor_lost(self, loss: ExecutorLoss) -> None:
+        self.loss_counts[loss.kind.name.lower()] += 1
+        self.losses.record(loss, self.loop.time())
         # The ends of the runs follow on the same links.
         for channel in self.node.connected('front'):
-            send_crash(channel, crash)
+            send_loss(channel, loss)
 
     def _run_ended(self, result: RunResult) -> None:
         held = result.held
@@ -338,7 +338,7 @@
             (x for x in self.node.channels if x.peer.incarnation == owner), None
         )
         if channel is not None and outcomes:
-            if not channel.peer.crash_reports:
+            if not channel.peer.loss_reports:
                 outcomes = list(map(_without_crash, outcomes))
             self.background.spawn(
                 _send_ends(channel, RunsEnded(outcomes, self.report()))
@@ -386,7 +386,7 @@
             channel.peer.incarnation
         )
         channel.notify(self.report())
-        send_known_crashes(channel, self.crashes, self.loop.time())
+        send_known_losses(channel, self.losses, self.loop.time())
         if self.catalogs.version:
             channel.notify(self.catalogs.update_message())
 
--- a/src/limpetlanding/wire/messages.py
+++ b/src/limpetlanding/wire/messages.py
@@ -49,8 +49,8 @@
     region: str = ''
     # Whether the sender understands slow heartbeats and `Farewell`.
     slow_heartbeats: bool = False
-    # Whether the sender understands reports of crashed executors.
-    crash_reports: bool = False
+    # Whether the sender understands reports of lost executors.
+    loss_reports: bool = False
 
 
 @message('hb')
--- a/src/limpetlanding/wire/run_messages.py
+++ b/src/limpetlanding/wire/run_messages.py
@@ -105,17 +105,18 @@
 
 @message('crash')
 @dataclass(slots=True)
-class ExecutorCrashed:
-    """Worker or front to front: an executor has crashed or fallen silent.
+class ExecutorLost:
+    """Worker or front to front: an executor is lost, or has answered again.
 
     The tasks are those that had runs there; ``recent_tasks`` were started
-    shortly before. ``is_certain`` is false if it is only silent so far.
+    shortly before. ``kind`` is 0 if it is only silent so far, 1 if it has
+    crashed, 2 if it has answered again.
     """
 
-    crash_id: str
+    loss_id: str
     recent_tasks: list[str]
     other_tasks: list[str]
-    is_certain: bool
+    kind: int
     age_ms: float = 0
 
 
