Count the losses of whole hosts under a task

A task that takes its host away, so that worker and executor are lost together, was started again every 1.77 s until the deadline of its client: only the worker reported crashes. Found by looking for the cause of the deadly tasks elsewhere. test_deadly_task_is_given_up_if_whole_hosts_are_lost failed before (504 after 20 s instead of failed) and passes.

A front now reports the executor of a lost worker as silent, and what the next report of a worker of that name shows: another executor means that it crashed, the same one, reached again, that it had not. A worker process that has lived on reports crashes itself, so that none counts twice.

--- a/src/limpetlanding/platform/tests/test_executor_crashes.py
+++ b/src/limpetlanding/platform/tests/test_executor_crashes.py
@@ -1,11 +1,18 @@
 """End-to-end tests of tasks that crash the executors that start them."""
 
 import asyncio
+from contextlib import AsyncExitStack
 from itertools import count
 
 import pytest
 
-from limpetlanding.platform.tests.rig import System, body, config
+from limpetlanding.platform.tests.rig import (
+    DOWN_S,
+    System,
+    body,
+    config,
+    running,
+)
 from limpetlanding.standin.platform_checks import overlapping_runs
 
 JOB = '5c0e7a21d94b36f8'
@@ -36,6 +43,15 @@
     return sum(run.task == task for run in system.history())
 
 
+async def lose_worker_with_executor(system, number):
+    """Kill a worker when its executor crashes, and restart it later."""
+    while True:
+        await system.executors[number].crashed.wait()
+        await system.kill(f'w{number}')
+        await asyncio.sleep(DOWN_S)
+        await system.start_worker(number, incarnation=1 + len(system.history()))
+
+
 class TestDeadlyTask:
     """Guards against a task that crashes one executor after another."""
 
@@ -78,6 +94,18 @@
             assert answer == (200, {'state': 'failed'})
             assert starts_of(system) <= 3
 
+    async def test_deadly_task_is_given_up_if_whole_hosts_are_lost(self):
+        async with System(WORKERS).run() as system, AsyncExitStack() as hosts:
+            await make_patient(system)
+            make_deadly(system)
+            for number in range(WORKERS):
+                await hosts.enter_async_context(
+                    running(lose_worker_with_executor(system, number))
+                )
+            answer = await system.submit(JOB, body(2), WAIT_MS)
+            assert answer == (200, {'state': 'failed'})
+            assert starts_of(system) <= MAX_STARTS
+
     async def test_new_front_knows_the_tasks_that_were_given_up(self):
         async with System(WORKERS).run() as system:
             await make_patient(system)
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -32,6 +32,7 @@
     retry_after_s,
 )
 from limpetlanding.runs.supervisor import LEASE_MS
+from limpetlanding.runs.worker_losses import WorkerLosses
 from limpetlanding.wire import Channel
 from limpetlanding.wire.run_messages import (
     ExpectedRuns,
@@ -125,6 +126,9 @@
         self.ended_jobs: dict[str, ActiveJob] = {}
         self.cancelled: set[str] = set()
         self.losses = LossLedger()
+        self.worker_losses = WorkerLosses(rng)
+        # Called with what this front reports of lost executors.
+        self.on_loss: Callable[[ExecutorLoss], None] = _ignore_loss
         self.placement_needed = asyncio.Event()
         self.shortage_at = -inf
         self.lost_at: dict[Channel, float] = {}
@@ -244,7 +248,8 @@
 
     def handle_report(self, channel: Channel, report: WorkerReport) -> None:
         """Store the report of a worker and assign waiting tasks."""
-        self.fleet.update(channel, report, self.loop.time())
+        view = self.fleet.update(channel, report, self.loop.time())
+        self._resolve_losses(view)
         if any(active.waiting for active in self.jobs.values()):
             self.placement_needed.set()
 
@@ -689,12 +694,38 @@
             logger.bind(
                 step='worker', peer=view.name, runs=len(view.runs)
             ).info('runs of the lost worker have ended')
+            self._record_lost_worker(view)
         for key in list(view.runs):
             self._return_to_waiting(view, key)
         if view.channel.closed.is_set():
             self.fleet.views.pop(view.channel, None)
         self.placement_needed.set()
 
+    def _record_lost_worker(self, view: WorkerView) -> None:
+        if not view.report.executor:
+            return
+        tasks = {key.rpartition('/')[0] for key in view.runs}
+        self._report_loss(self.worker_losses.record(view.state, tasks))
+        # A new process of the worker may have reported already.
+        for other in list(self.fleet.views.values()):
+            if other is not view and other.name == view.name:
+                self._resolve_losses(other)
+
+    def _resolve_losses(self, view: WorkerView) -> None:
+        for loss in self.worker_losses.resolve(view.state):
+            self._report_loss(loss)
+
+    def _report_loss(self, loss: ExecutorLoss) -> None:
+        logger.bind(
+            step='worker', crash=loss.loss_id, tasks=len(loss.other_tasks)
+        ).info('executor of a lost worker: {}', loss.kind.name.lower())
+        self.handle_loss(loss, 0)
+        self.on_loss(loss)
+
+
+def _ignore_loss(_loss: ExecutorLoss) -> None:
+    """Do nothing; used until a callback is set."""
+
 
 def _ignore_answer(_elapsed_s: float, _wait_s: float | None) -> None:
     """Do nothing; used until the metrics are set up."""
--- a/src/limpetlanding/runs/fleet.py
+++ b/src/limpetlanding/runs/fleet.py
@@ -5,6 +5,7 @@
 
 from limpetlanding.runs.model import Resources, Step
 from limpetlanding.runs.trials import StartTimes
+from limpetlanding.runs.worker_losses import WorkerState
 from limpetlanding.wire import Channel
 from limpetlanding.wire.run_messages import WorkerReport
 
@@ -58,6 +59,15 @@
         """Node name of the worker."""
         return self.channel.peer.node
 
+    @property
+    def state(self) -> WorkerState:
+        """What the latest report tells of the worker and its executor."""
+        report = self.report
+        incarnation = self.channel.peer.incarnation
+        return WorkerState(
+            self.name, incarnation, report.executor, report.accepting
+        )
+
     @property
     def capacity(self) -> Resources:
         """Total resources of the executor."""
--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -21,6 +21,7 @@
     send_known_losses,
     send_loss,
 )
+from limpetlanding.runs.losses import ExecutorLoss
 from limpetlanding.runs.model import Catalog, Job, Queue
 from limpetlanding.runs.ports import StorePort, WorkerRecord
 from limpetlanding.runs.subset import Candidate, WorkerSubset
@@ -71,6 +72,7 @@
         self.catalogs = CatalogHolder(self._broadcast_catalog)
         self.fleet = Fleet(node.hello.failure_domain)
         self.dispatcher = Dispatcher(self.fleet, rng)
+        self.dispatcher.on_loss = self._share_loss
         self.subset = WorkerSubset(node.hello.node, node.hello.failure_domain)
         self.subset_outdated = asyncio.Event()
         # Address of each worker according to its record.
@@ -197,11 +199,19 @@
         received = received_loss(message)
         if received is None or not self.dispatcher.handle_loss(*received):
             return
-        # A client may submit its job again at any front, and not all of them
-        # are linked to the worker.
+        # Not all fronts are linked to the worker, or with each other.
+        self._share_loss(*received, source=channel)
+
+    def _share_loss(
+        self,
+        loss: ExecutorLoss,
+        age_s: float = 0,
+        source: Channel | None = None,
+    ) -> None:
+        # A client may submit its job again at any front.
         for front in self.node.connected('front'):
-            if front is not channel:
-                send_loss(front, *received)
+            if front is not source:
+                send_loss(front, loss, age_s)
 
     def _apply_catalog(self, catalog: Catalog) -> None:
         self.catalogs.replace_if_newer(catalog, 'store')
