--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -712,6 +712,8 @@
                 self._resolve_losses(other)
 
     def _resolve_losses(self, view: WorkerView) -> None:
+        if view.name not in self.worker_losses.open:
+            return
         for loss in self.worker_losses.resolve(view.state):
             self._report_loss(loss)
 
--- a/src/limpetlanding/runs/worker_losses.py
+++ b/src/limpetlanding/runs/worker_losses.py
@@ -93,19 +93,16 @@
 
     def resolve(self, worker: WorkerState) -> list[ExecutorLoss]:
         """Return what a report of a worker shows of its open losses."""
-        kinds = [_kind(held.worker, worker) for held in self._open_of(worker)]
+        held_losses = self.open.get(worker.name, [])
+        kinds = [_kind(held.worker, worker) for held in held_losses]
         if LossKind.SILENT in kinds:
             return []
+        self.open.pop(worker.name, None)
         return [
             replace(held.loss, kind=kind)
-            for held, kind in zip(
-                self.open.pop(worker.name, []), kinds, strict=True
-            )
+            for held, kind in zip(held_losses, kinds, strict=True)
         ]
 
-    def _open_of(self, worker: WorkerState) -> list[OpenLoss]:
-        return self.open.get(worker.name, [])
-
 
 def _kind(before: WorkerState, after: WorkerState) -> LossKind:
     if after.incarnation == before.incarnation:
