--- a/src/limpetlanding/standin/platform_executor.py
+++ b/src/limpetlanding/standin/platform_executor.py
@@ -240,6 +240,9 @@
     async def _execute(
         self, handler: Any, fields: dict[str, Any], expected: str | None
     ) -> web.Response:
+        if self.crashed.is_set():
+            # The order had been received before the crash.
+            await asyncio.sleep(3600)
         if expected and expected != self.executor_id:
             return web.Response(status=421)
         fence = fields.get('fencingToken', 0)
