Do not count a start that never reached its executor as a crash under its task

Callers were told that their job had failed because its task crashes executors, although no executor had ever started it: the worker sent its start to an executor that had crashed before, the connection was refused, and the run, still tracked, was reported among the recent starts of the crash. Two such orders sufficed.

Cause: a worker kept no difference between a start that was confirmed, one that was sent without an answer, and one that was never sent, and took all three for the strongest evidence. Now a refused connection ends the run as refused, with no part in the loss. A start without an answer is reported apart; it makes a task suspect, and three crashes near the start are needed if some are of this kind. The field is the last one of the message, so that peers of the build before ignore it.

test_job_is_not_given_up_after_orders_to_crashed_executors fails on (job answered: failed, no start) and passes.

--- a/src/limpetlanding/platform/tests/test_executor_crashes.py
+++ b/src/limpetlanding/platform/tests/test_executor_crashes.py
@@ -171,6 +171,15 @@
             assert await job == (200, {'state': 'completed'})
             assert not overlapping_runs(system.history())
 
+    async def test_job_is_not_given_up_after_orders_to_crashed_executors(self):
+        async with System(worker_count=3).run() as system:
+            await make_patient(system)
+            for executor in system.executors[:2]:
+                executor.crash()
+            answer = await system.submit(JOB, body(1), WAIT_MS)
+            assert answer == (200, {'state': 'completed'})
+            assert starts_of(system) == 1
+
     async def test_other_jobs_complete_beside_deadly_ones(self):
         # The deadly jobs arrive faster than their executors come back, if each
         # of them crashes more than two.
--- a/src/limpetlanding/runs/executor_losses.py
+++ b/src/limpetlanding/runs/executor_losses.py
@@ -64,13 +64,19 @@
         known = self.reported
         if not self.runs or (known and known.kind >= kind and not ended):
             return
-        recent = {held.task for held in self.runs if self._is_recent(held)}
-        others = {held.task for held in self.runs} - recent
+        confirmed = [held for held in self.runs if held.started]
+        recent = {held.task for held in confirmed if self._is_recent(held)}
+        others = {held.task for held in confirmed} - recent
+        unconfirmed = {held.task for held in self.runs} - recent - others
         loss_id = (
             known.loss_id if known else f'{incarnation}/{self.source}/{now:.3f}'
         )
         loss = ExecutorLoss(
-            loss_id, tuple(sorted(recent)), tuple(sorted(others)), kind
+            loss_id,
+            tuple(sorted(recent)),
+            tuple(sorted(others)),
+            kind,
+            tuple(sorted(unconfirmed)),
         )
         self._report(loss, incarnation, now)
 
@@ -99,13 +105,13 @@
             crash=loss.loss_id,
             recent=loss.recent_tasks[:MAX_LOGGED_TASKS],
             others=loss.other_tasks[:MAX_LOGGED_TASKS],
+            unconfirmed=loss.unconfirmed_tasks[:MAX_LOGGED_TASKS],
             silent_ms=round(1000 * (now - self.last_answer_at)),
         ).info(LOG_MESSAGES[loss.kind])
         self.on_loss(loss)
 
     def _is_recent(self, held: TrackedRun) -> bool:
-        started_at = held.started_at if held.started else None
-        return is_recent_start(started_at, self.last_answer_at)
+        return is_recent_start(held.started_at, self.last_answer_at)
 
 
 def _ignore(_loss: ExecutorLoss) -> None:
--- a/src/limpetlanding/runs/loss_reports.py
+++ b/src/limpetlanding/runs/loss_reports.py
@@ -32,6 +32,7 @@
                 list(loss.other_tasks),
                 loss.kind,
                 1000 * age_s,
+                list(loss.unconfirmed_tasks),
             )
         )
 
@@ -67,6 +68,7 @@
         tuple(message.recent_tasks),
         tuple(message.other_tasks),
         kind,
+        tuple(message.unconfirmed_tasks),
     )
     # The order of the arguments maps NaN to 0.
     return loss, min(max(0, message.age_ms / 1000), RETENTION_S)
--- a/src/limpetlanding/runs/losses.py
+++ b/src/limpetlanding/runs/losses.py
@@ -9,7 +9,6 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import IntEnum
-from itertools import chain
 
 RECENT_START_S = 0.05
 """A run is a likely cause of a crash if it was started within this time before
@@ -20,6 +19,10 @@
 """Crashes shortly after a start of a task, from which on it is not started
 again. The platform allows a job to be given up after two."""
 
+MAX_CRASHES_NEAR_START = 3
+"""Crashes shortly after a start of a task or while a start was on its way, from
+which on it is not started again."""
+
 MAX_CRASHES = 4
 """Crashes under a task, at any time of its runs, from which on it is not
 started again. The platform allows two starts after the third crash."""
@@ -68,21 +71,30 @@
         The other tasks that had runs at the executor.
     kind : LossKind
         What is known of the loss so far.
+    unconfirmed_tasks : tuple of str
+        Tasks whose start was sent, but not confirmed by the executor. They may
+        never have run there.
     """
 
     loss_id: str
     recent_tasks: tuple[str, ...] = ()
     other_tasks: tuple[str, ...] = ()
     kind: LossKind = LossKind.CRASHED
+    unconfirmed_tasks: tuple[str, ...] = ()
+
+    @property
+    def tasks(self) -> tuple[str, ...]:
+        """All tasks that may have had runs at the executor."""
+        return self.recent_tasks + self.other_tasks + self.unconfirmed_tasks
 
 
-def is_recent_start(started_at: float | None, last_answer_at: float) -> bool:
+def is_recent_start(started_at: float, last_answer_at: float) -> bool:
     """Tell whether a run was started shortly before its executor crashed.
 
     Parameters
     ----------
-    started_at : float or None
-        When the executor confirmed the start, in seconds; None if it did not.
+    started_at : float
+        When the executor confirmed the start, in seconds.
     last_answer_at : float
         When the executor answered the last time, on the same clock.
 
@@ -90,10 +102,8 @@
     --------
     >>> is_recent_start(9.95, 10), is_recent_start(9.5, 10)
     (True, False)
-    >>> is_recent_start(None, 10)
-    True
     """
-    return started_at is None or started_at >= last_answer_at - RECENT_START_S
+    return started_at >= last_answer_at - RECENT_START_S
 
 
 @dataclass(slots=True)
@@ -106,6 +116,8 @@
         Crashes shortly after a start of the task.
     other : int
         Other crashes.
+    unconfirmed : int
+        Crashes of executors that had not confirmed the start of the task.
     silent : int
         Executors that have fallen silent, and may have crashed.
 
@@ -121,29 +133,43 @@
 
     recent: int = 0
     other: int = 0
+    unconfirmed: int = 0
     silent: int = 0
 
+    @property
+    def near_start(self) -> int:
+        """Crashes for which a start of the task is a likely cause."""
+        return self.recent + self.unconfirmed
+
+    @property
+    def crashes(self) -> int:
+        """Crashes of executors that had, or may have had, runs of the task."""
+        return self.near_start + self.other
+
     @property
     def is_suspect(self) -> bool:
         """Whether the task is likely to be the cause of a crash."""
         return (
-            self.recent > 0 or self.other > MAX_OTHER_CRASHES or self.is_paused
+            self.near_start > 0
+            or self.other > MAX_OTHER_CRASHES
+            or self.is_paused
         )
 
     @property
     def is_deadly(self) -> bool:
         """Whether the task must not be started again."""
-        crashes = self.recent + self.other
+        certain = self.recent + self.other
         return (
             self.recent >= MAX_RECENT_CRASHES
-            or crashes >= MAX_CRASHES
-            or (crashes >= MIN_CERTAIN_CRASHES and self.is_paused)
+            or self.near_start >= MAX_CRASHES_NEAR_START
+            or self.crashes >= MAX_CRASHES
+            or (certain >= MIN_CERTAIN_CRASHES and self.is_paused)
         )
 
     @property
     def is_paused(self) -> bool:
         """Whether the task waits until it is known which executors crashed."""
-        return self.recent + self.other + self.silent >= MAX_LOSSES
+        return self.crashes + self.silent >= MAX_LOSSES
 
 
 class LossLedger:
@@ -233,8 +259,10 @@
                 self._entry(task).recent += change
             for task in loss.other_tasks:
                 self._entry(task).other += change
+            for task in loss.unconfirmed_tasks:
+                self._entry(task).unconfirmed += change
         elif loss.kind is LossKind.SILENT:
-            for task in chain(loss.recent_tasks, loss.other_tasks):
+            for task in loss.tasks:
                 self._entry(task).silent += change
 
     def _entry(self, task: str) -> TaskLosses:
@@ -254,8 +282,8 @@
 
 def jobs_of(loss: ExecutorLoss) -> set[str]:
     """Return the ids of the jobs that had runs at a lost executor."""
-    return set(map(job_of, chain(loss.recent_tasks, loss.other_tasks)))
+    return set(map(job_of, loss.tasks))
 
 
 def _is_counted(losses: TaskLosses) -> bool:
-    return bool(losses.recent or losses.other or losses.silent)
+    return losses != TaskLosses()
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -523,10 +523,16 @@
         try:
             async with asyncio.timeout(EXECUTOR_CALL_TIMEOUT_S):
                 return await self.port.start(self.call_target(), order)
+        except ExecutorDown as error:
+            # The order never reached the executor, so the run need not be
+            # stopped, and has no part in the loss of the executor.
+            self._note_missing_answer()
+            logger.bind(
+                request_id=held.job_id, task=held.task, run=held.run
+            ).info('start not delivered: {}', error)
+            self._finish(held, held.requested_end or RunEnd.REFUSED)
         except (ExecutorUnavailable, FenceRejected, TimeoutError) as error:
-            self.order_unanswered = True
-            self.wake.set()
-            self.on_change()
+            self._note_missing_answer()
             logger.bind(
                 request_id=held.job_id, task=held.task, run=held.run
             ).info('start without answer; the run is stopped: {!r}', error)
@@ -538,6 +544,11 @@
                 self._end_incarnation(str(error))
         return None
 
+    def _note_missing_answer(self) -> None:
+        self.order_unanswered = True
+        self.wake.set()
+        self.on_change()
+
     def _handle_start_reply(self, held: TrackedRun, reply: StartReply) -> None:
         now = self.loop.time()
         if not reply.refusal:
--- a/src/limpetlanding/runs/tests/test_losses.py
+++ b/src/limpetlanding/runs/tests/test_losses.py
@@ -36,6 +36,11 @@
     return ExecutorLoss(f'i-{number}', (), (TASK,), LossKind.SILENT)
 
 
+def unconfirmed(number):
+    """Return a crash of an executor that may not have started the task."""
+    return ExecutorLoss(f'i-{number}', unconfirmed_tasks=(TASK,))
+
+
 def answered(number):
     """Return the report that an executor has answered again."""
     return ExecutorLoss(f'i-{number}', (), (TASK,), LossKind.ANSWERED)
@@ -82,6 +87,19 @@
         ledger.record(crash(3, others=(TASK,)), 6)
         assert ledger.deadly_task(JOB)
 
+    @pytest.mark.parametrize('count', [1, 2, 3])
+    def test_task_is_deadly_after_three_crashes_during_its_start(self, count):
+        ledger = ledger_of(*map(unconfirmed, range(count)))
+        assert not ledger.is_paused(JOB)
+        assert bool(ledger.deadly_task(JOB)) is (count == 3)
+
+    def test_unconfirmed_start_and_a_crash_are_not_enough(self):
+        ledger = ledger_of(unconfirmed(1), crash(2, recent=(TASK,)))
+        assert not ledger.deadly_task(JOB)
+
+    def test_job_of_an_unconfirmed_start_is_tried_apart(self):
+        assert ledger_of(unconfirmed(1)).is_suspect(JOB)
+
     def test_repeated_report_counts_once(self):
         ledger = ledger_of(*(crash(1, recent=(TASK,)) for _ in range(3)))
         assert not ledger.deadly_task(JOB)
--- a/src/limpetlanding/wire/run_messages.py
+++ b/src/limpetlanding/wire/run_messages.py
@@ -109,8 +109,9 @@
     """Worker or front to front: an executor is lost, or has answered again.
 
     The tasks are those that had runs there; ``recent_tasks`` were started
-    shortly before. ``kind`` is 0 if it is only silent so far, 1 if it has
-    crashed, 2 if it has answered again.
+    shortly before, and ``unconfirmed_tasks`` perhaps not at all. ``kind`` is 0
+    if it is only silent so far, 1 if it has crashed, 2 if it has answered
+    again.
     """
 
     loss_id: str
@@ -118,6 +119,7 @@
     other_tasks: list[str]
     kind: int
     age_ms: float = 0
+    unconfirmed_tasks: list[str] = field(default_factory=list)
 
 
 @message('stop')
