Do not give up a task for crashes that another task explains

Callers beside deadly tasks were told that their own job had failed: long tasks ran at executor after executor that a deadly task took away, and four crashes at any time were enough.

Cause: each crash counted under every task that it had ended, also after it was known which of them had caused it. Now a task that is given up because of its starts explains the crashes near them, and they count no more under the tasks beside it. Tasks with the same crashes do not excuse each other. What counts is computed from the remembered losses, instead of counters that follow each change.

--- a/src/limpetlanding/platform/tests/test_executor_crashes.py
+++ b/src/limpetlanding/platform/tests/test_executor_crashes.py
@@ -180,6 +180,22 @@
             assert answer == (200, {'state': 'completed'})
             assert starts_of(system) == 1
 
+    async def test_neighbour_of_several_deadly_jobs_completes(self):
+        async with System(worker_count=1).run() as system:
+            await make_patient(system)
+            (executor,) = system.executors
+            executor.faults.deadly = lambda name: name.startswith('d')
+            executor.work_s = lambda _: 1.5
+            job = asyncio.create_task(system.submit(JOB, body(1), WAIT_MS))
+            for number in range(2):
+                await next_active(system, len(system.history()))
+                deadly = await system.submit(
+                    f'd{number:015x}', body(1), WAIT_MS
+                )
+                assert deadly == (200, {'state': 'failed'})
+            assert await job == (200, {'state': 'completed'})
+            assert system.crash_count == 4
+
     async def test_other_jobs_complete_beside_deadly_ones(self):
         # The deadly jobs arrive faster than their executors come back, if each
         # of them crashes more than two.
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -333,7 +333,7 @@
             request_id=job_id,
             step='crash',
             task=task,
-            losses=str(self.losses.by_job[job_id][task]),
+            losses=str(self.losses.losses_of(task)),
         ).info('job given up: its task crashes executors')
         return True
 
--- a/src/limpetlanding/runs/losses.py
+++ b/src/limpetlanding/runs/losses.py
@@ -5,7 +5,7 @@
 tasks may be the cause of a crash, and which are not started again.
 """
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import IntEnum
@@ -82,10 +82,15 @@
     kind: LossKind = LossKind.CRASHED
     unconfirmed_tasks: tuple[str, ...] = ()
 
+    @property
+    def near_start_tasks(self) -> tuple[str, ...]:
+        """Tasks whose start may have caused the loss."""
+        return self.recent_tasks + self.unconfirmed_tasks
+
     @property
     def tasks(self) -> tuple[str, ...]:
         """All tasks that may have had runs at the executor."""
-        return self.recent_tasks + self.other_tasks + self.unconfirmed_tasks
+        return self.near_start_tasks + self.other_tasks
 
 
 def is_recent_start(started_at: float, last_answer_at: float) -> bool:
@@ -110,6 +115,9 @@
 class TaskLosses:
     """Losses of executors that had runs of one task.
 
+    A crash near a start of another task is explained if that task has caused
+    enough crashes to be given up.
+
     Parameters
     ----------
     recent : int
@@ -120,6 +128,9 @@
         Crashes of executors that had not confirmed the start of the task.
     silent : int
         Executors that have fallen silent, and may have crashed.
+    explained : int
+        Crashes that another task explains. The others count only those that
+        none explains.
 
     Examples
     --------
@@ -135,6 +146,7 @@
     other: int = 0
     unconfirmed: int = 0
     silent: int = 0
+    explained: int = 0
 
     @property
     def near_start(self) -> int:
@@ -143,9 +155,17 @@
 
     @property
     def crashes(self) -> int:
-        """Crashes of executors that had, or may have had, runs of the task."""
+        """Crashes that no other task explains."""
         return self.near_start + self.other
 
+    @property
+    def is_deadly_at_start(self) -> bool:
+        """Whether the starts of the task have caused enough crashes."""
+        return (
+            self.recent >= MAX_RECENT_CRASHES
+            or self.near_start >= MAX_CRASHES_NEAR_START
+        )
+
     @property
     def is_suspect(self) -> bool:
         """Whether the task is likely to be the cause of a crash."""
@@ -160,8 +180,7 @@
         """Whether the task must not be started again."""
         certain = self.recent + self.other
         return (
-            self.recent >= MAX_RECENT_CRASHES
-            or self.near_start >= MAX_CRASHES_NEAR_START
+            self.is_deadly_at_start
             or self.crashes >= MAX_CRASHES
             or (certain >= MIN_CERTAIN_CRASHES and self.is_paused)
         )
@@ -193,7 +212,11 @@
     def __init__(self) -> None:
         # Each loss with the time at which it occurred.
         self.losses: dict[str, tuple[ExecutorLoss, float]] = {}
-        self.by_job: dict[str, dict[str, TaskLosses]] = defaultdict(dict)
+        # Ids of the losses under each task, without those of executors that
+        # have answered again.
+        self.by_job: dict[str, dict[str, set[str]]] = {}
+        # Tasks whose starts have caused enough crashes to explain them.
+        self.causes: set[str] = set()
 
     def record(self, loss: ExecutorLoss, at: float) -> bool:
         """Store a loss; return whether the report tells something new.
@@ -209,9 +232,11 @@
         if known is not None:
             if known.kind >= loss.kind:
                 return False
-            self._count(known, -1)
+            self._remove(loss.loss_id)
         self.losses[loss.loss_id] = (loss, at)
-        self._count(loss, 1)
+        if loss.kind is not LossKind.ANSWERED:
+            self._add_to_index(loss)
+            self._add_causes(loss)
         if len(self.losses) > MAX_REMEMBERED_LOSSES:
             self._remove(next(iter(self.losses)))
         return True
@@ -226,47 +251,68 @@
 
     def is_suspect(self, job_id: str) -> bool:
         """Tell whether a task of a job is likely to have caused a crash."""
-        return any(x.is_suspect for x in self._losses_of(job_id).values())
+        return any(x.is_suspect for _, x in self._losses_of(job_id))
 
     def is_paused(self, job_id: str) -> bool:
         """Tell whether a task of a job is not to be started for now."""
-        return any(x.is_paused for x in self._losses_of(job_id).values())
+        return any(x.is_paused for _, x in self._losses_of(job_id))
 
     def deadly_task(self, job_id: str) -> str:
         """Return a task of a job that must not be started again, if any."""
         return next(
             (
                 task
-                for task, losses in self._losses_of(job_id).items()
+                for task, losses in self._losses_of(job_id)
                 if losses.is_deadly
             ),
             '',
         )
 
-    def _losses_of(self, job_id: str) -> dict[str, TaskLosses]:
-        return self.by_job.get(job_id, {})
+    def losses_of(self, task: str) -> TaskLosses:
+        """Return the losses under a task."""
+        loss_ids = self.by_job.get(job_of(task), {}).get(task, ())
+        losses = (self.losses[loss_id][0] for loss_id in loss_ids)
+        roles = Counter(
+            'explained' if self._is_explained(loss, task) else _role(loss, task)
+            for loss in losses
+        )
+        return TaskLosses(**roles)
+
+    def _losses_of(self, job_id: str) -> Iterator[tuple[str, TaskLosses]]:
+        for task in self.by_job.get(job_id, ()):
+            yield task, self.losses_of(task)
+
+    def _is_explained(self, loss: ExecutorLoss, task: str) -> bool:
+        return (
+            loss.kind is LossKind.CRASHED
+            and task not in self.causes
+            and not self.causes.isdisjoint(loss.near_start_tasks)
+        )
+
+    def _add_causes(self, loss: ExecutorLoss) -> None:
+        # Tasks with the same crashes must not explain each other's.
+        self.causes |= {
+            task
+            for task in loss.near_start_tasks
+            if self.losses_of(task).is_deadly_at_start
+        }
+
+    def _add_to_index(self, loss: ExecutorLoss) -> None:
+        for task in loss.tasks:
+            tasks = self.by_job.setdefault(job_of(task), defaultdict(set))
+            tasks[task].add(loss.loss_id)
 
     def _remove(self, loss_id: str) -> None:
         loss, _ = self.losses.pop(loss_id)
-        self._count(loss, -1)
-        for job_id in jobs_of(loss):
-            if not any(map(_is_counted, self._losses_of(job_id).values())):
-                self.by_job.pop(job_id, None)
-
-    def _count(self, loss: ExecutorLoss, change: int) -> None:
-        if loss.kind is LossKind.CRASHED:
-            for task in loss.recent_tasks:
-                self._entry(task).recent += change
-            for task in loss.other_tasks:
-                self._entry(task).other += change
-            for task in loss.unconfirmed_tasks:
-                self._entry(task).unconfirmed += change
-        elif loss.kind is LossKind.SILENT:
-            for task in loss.tasks:
-                self._entry(task).silent += change
-
-    def _entry(self, task: str) -> TaskLosses:
-        return self.by_job[job_of(task)].setdefault(task, TaskLosses())
+        for task in loss.tasks:
+            tasks = self.by_job.get(job_of(task), {})
+            loss_ids = tasks.get(task, set())
+            loss_ids.discard(loss_id)
+            if not loss_ids:
+                tasks.pop(task, None)
+                self.causes.discard(task)
+            if not tasks:
+                self.by_job.pop(job_of(task), None)
 
 
 def job_of(task: str) -> str:
@@ -285,5 +331,10 @@
     return set(map(job_of, loss.tasks))
 
 
-def _is_counted(losses: TaskLosses) -> bool:
-    return losses != TaskLosses()
+def _role(loss: ExecutorLoss, task: str) -> str:
+    """Return the field of `TaskLosses` that counts a loss under a task."""
+    if loss.kind is LossKind.SILENT:
+        return 'silent'
+    if task in loss.recent_tasks:
+        return 'recent'
+    return 'other' if task in loss.other_tasks else 'unconfirmed'
