Serve late jobs before those whose answer is of no more use

In a shortage, as while deadly tasks take executors away, callers whose job could still be answered in time to be of use waited behind older jobs that could not: late jobs were served by their latest start, so that the oldest came first. A job that has begun is not refused, so those that lost runs to crashes gathered at the front. Now they come last.

--- a/src/limpetlanding/runs/placement.py
+++ b/src/limpetlanding/runs/placement.py
@@ -7,7 +7,7 @@
 
 from limpetlanding.runs.fleet import Fleet, WorkerView, lowest_run_ratio
 from limpetlanding.runs.jobs import ActiveJob, ActiveTask
-from limpetlanding.runs.refusal import max_useful_ratio
+from limpetlanding.runs.refusal import last_useful_start, max_useful_ratio
 
 TASKS_PER_BATCH = 4
 """Tasks of one job that are ordered from one worker before the next is used. A
@@ -120,15 +120,21 @@
 
 def urgency(
     now: float, active: ActiveJob, run_ratio: float
-) -> tuple[bool, int, float]:
+) -> tuple[int, int, float]:
     """Return the sort key of a job; the job with the lowest key comes first.
 
-    Jobs that can still be on time precede late jobs, then the priority and the
-    latest start decide. Late jobs have little value; they use the resources
-    that are left, also those of slow workers.
+    Jobs that can still be on time precede late jobs, and those precede jobs
+    whose answer comes too late to be of use; then the priority and the latest
+    start decide. Late jobs have little value; they use the resources that are
+    left, also those of slow workers.
     """
     latest_start = active.latest_start(run_ratio)
-    return now > latest_start, active.queue.priority, latest_start
+    limits = latest_start, last_useful_start(active, run_ratio)
+    return (
+        sum(now > limit for limit in limits),
+        active.queue.priority,
+        latest_start,
+    )
 
 
 def _max_run_ratio(now: float, active: ActiveJob) -> float:
--- a/src/limpetlanding/runs/tests/test_placement.py
+++ b/src/limpetlanding/runs/tests/test_placement.py
@@ -103,3 +103,9 @@
         jobs = [late, low_priority, on_time, earlier]
         jobs.sort(key=lambda x: urgency(NOW, x, 1))
         assert jobs == [earlier, on_time, low_priority, late]
+
+    async def test_jobs_of_no_more_use_come_after_late_jobs(self):
+        useless = new_job(submitted_at=NOW - 1)
+        late = new_job(submitted_at=NOW - 0.4, priority=1)
+        jobs = sorted([useless, late], key=lambda x: urgency(NOW, x, 1))
+        assert jobs == [late, useless]
--- a/src/limpetlanding/runs/tests/test_refusal.py
+++ b/src/limpetlanding/runs/tests/test_refusal.py
@@ -45,11 +45,13 @@
     """One front and its workers, with jobs that arrive at given times.
 
     Run times differ from the estimates by up to `ESTIMATE_SPREAD`. Without
-    `refuses`, each job waits until it is served, as before.
+    `refuses`, each job waits until it is served, as before. `order` is the sort
+    key of the waiting jobs.
     """
 
-    def __init__(self, refuses, seed=1):
+    def __init__(self, refuses, seed=1, order=urgency):
         self.refuses = refuses
+        self.order = order
         self.rng = Random(seed)
         self.fleet = Fleet('z1')
         self.waiting = []
@@ -80,7 +82,8 @@
 
     def place(self, now):
         pool = Pool(self.fleet, 'desk')
-        self.waiting.sort(key=lambda x: urgency(now, x, pool.lowest_run_ratio))
+        run_ratio = pool.lowest_run_ratio
+        self.waiting.sort(key=lambda x: self.order(now, x, run_ratio))
         for active in self.waiting:
             if self.refuses and is_hopeless(active, now, 1):
                 assert not active.runs
@@ -126,6 +129,12 @@
     return jobs
 
 
+def oldest_late_first(now, active, run_ratio):
+    """Return the sort key that does not tell late jobs from useless ones."""
+    latest_start = active.latest_start(run_ratio)
+    return now > latest_start, active.queue.priority, latest_start
+
+
 RECOVERY_S = 12
 """Time after a disturbance within which service is normal again, according to
 the documentation of the platform."""
@@ -172,6 +181,21 @@
         assert refused
         assert all(at <= active.useful_until for active, at in refused)
 
+    async def test_more_jobs_are_served_if_useless_ones_come_last(self):
+        def answers(order):
+            jobs = [
+                *arrivals(7, 4, tasks=8),
+                *arrivals(17, 6, begin=4, seed=3, tasks=8),
+                *arrivals(7, 10, begin=10, seed=4, tasks=8),
+            ]
+            return Play(refuses=True, order=order).run(jobs)
+
+        before = answers(oldest_late_first)
+        after = answers(urgency)
+        assert after['useless'] < before['useless']
+        served = before['on time'] + before['late']
+        assert after['on time'] + after['late'] > served
+
     async def test_service_is_normal_after_the_time_for_recovery(self):
         # Guards against a backlog that outlasts the burst.
         begin = 10 + RECOVERY_S
