Answer a job that cannot end before its client leaves at once

Callers whose job had lost runs to a crash waited until their deadline for an answer that could not come any more: a job that has begun is not refused, and was ordered again in the last moments although its tasks take longer than the client waits, in room that other jobs could have used. It is now given up (504) as soon as none of its tasks runs and the declared run time, by the same tolerance as for refusals, does not fit before the deadline.

test_job_that_cannot_end_in_time_is_answered_at_once failed before (answer after 1.48 s instead of 0.3 s) and passes.

--- a/src/limpetlanding/platform/tests/test_executor_crashes.py
+++ b/src/limpetlanding/platform/tests/test_executor_crashes.py
@@ -158,6 +158,21 @@
             assert loop.time() - begin < 0.5
             assert not overlapping_runs(system.history())
 
+    async def test_job_that_cannot_end_in_time_is_answered_at_once(self):
+        async with System(worker_count=1).run() as system:
+            await make_patient(system)
+            (executor,) = system.executors
+            executor.work_s = lambda _: 2
+            job = asyncio.create_task(
+                system.submit(JOB, body(1, estimateMs=2000), wait_ms=3000)
+            )
+            await asyncio.sleep(1.5)
+            loop = asyncio.get_running_loop()
+            begin = loop.time()
+            executor.crash()
+            assert (await job)[0] == 504
+            assert loop.time() - begin < 0.3
+
     async def test_neighbours_of_two_crashes_are_not_given_up(self):
         async with System(worker_count=4).run() as system:
             await make_patient(system)
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -27,6 +27,7 @@
 from limpetlanding.runs.model import Job, JobState, Queue, Resources, RunEnd
 from limpetlanding.runs.placement import Assignment, Pool, urgency
 from limpetlanding.runs.refusal import (
+    cannot_end_in_time,
     is_hopeless,
     is_hopeless_trial,
     retry_after_s,
@@ -465,7 +466,10 @@
     def _place(
         self, active: ActiveJob, pool: Pool, now: float, is_trial: bool = False
     ) -> None:
-        if is_hopeless(active, now, pool.lowest_run_ratio):
+        run_ratio = pool.lowest_run_ratio
+        if is_hopeless(active, now, run_ratio) or cannot_end_in_time(
+            active, now, run_ratio
+        ):
             self._refuse(active)
             return
         try:
--- a/src/limpetlanding/runs/jobs.py
+++ b/src/limpetlanding/runs/jobs.py
@@ -98,6 +98,8 @@
     # job must end to be on time.
     longest_chains_s: list[float] = field(init=False)
     due_at: float = field(init=False)
+    # Time at which the client stops waiting.
+    waits_until: float = field(init=False)
     # Time after which the answer has no value for the client.
     useful_until: float = field(init=False)
     # Number of runs of each task so far, by name of the task.
@@ -108,8 +110,10 @@
         self.longest_chains_s = _longest_chains_s(self.job.steps)
         aim_s = objective_s(self.job, self.queue)
         self.due_at = self.submitted_at + aim_s
-        useful_s = min(USELESS_AFTER_FACTOR * aim_s, self.wait_s)
-        self.useful_until = self.submitted_at + useful_s
+        self.waits_until = self.submitted_at + self.wait_s
+        self.useful_until = min(
+            self.submitted_at + USELESS_AFTER_FACTOR * aim_s, self.waits_until
+        )
 
     def latest_start(self, run_ratio: float) -> float:
         """Return when the waiting tasks must start for the job to be on time.
--- a/src/limpetlanding/runs/refusal.py
+++ b/src/limpetlanding/runs/refusal.py
@@ -39,11 +39,21 @@
     return active.useful_until - ESTIMATE_TOLERANCE * run_s
 
 
+def cannot_end_in_time(active: ActiveJob, now: float, run_ratio: float) -> bool:
+    """Tell whether the waiting tasks cannot end before the client leaves.
+
+    Other than a hopeless job, the job may have run. Its client gets an answer
+    at once, and its tasks take no room from jobs that can be answered.
+    """
+    run_s = ESTIMATE_TOLERANCE * active.longest_waiting_s * run_ratio
+    return not active.placed and now > active.waits_until - run_s
+
+
 def max_useful_ratio(active: ActiveJob, now: float) -> float:
     """Return the highest run ratio at which a late job is still of use.
 
-    A job that has started is completed at any worker, because its client
-    cannot be told that it has not run.
+    A job that has started is completed at any worker as long as its client
+    waits, because the client cannot be told that it has not run.
     """
     run_s = ESTIMATE_TOLERANCE * active.longest_waiting_s
     if active.has_run or not run_s:
--- a/src/limpetlanding/runs/tests/test_refusal.py
+++ b/src/limpetlanding/runs/tests/test_refusal.py
@@ -14,6 +14,7 @@
 from limpetlanding.runs.model import Job, Queue, Resources, Step
 from limpetlanding.runs.placement import Pool, urgency
 from limpetlanding.runs.refusal import (
+    cannot_end_in_time,
     is_hopeless,
     last_useful_start,
     max_useful_ratio,
@@ -241,6 +242,19 @@
         assert not is_hopeless(active, 100, 1)
         assert max_useful_ratio(active, 100) == float('inf')
 
+    async def test_job_that_cannot_end_before_its_deadline_is_given_up(self):
+        # Guards against an answer that is held until the client leaves.
+        active = new_job(run_ms=400, wait_s=5)
+        active.may_have_run = True
+        assert not cannot_end_in_time(active, 4.6, 1)
+        assert cannot_end_in_time(active, 4.7, 1)
+        assert cannot_end_in_time(active, 4.6, 1.5)
+
+    async def test_job_with_runs_is_not_given_up(self):
+        active = new_job(run_ms=400, wait_s=5)
+        active.place(active.waiting.pop(), 'w1')
+        assert not cannot_end_in_time(active, 5, 1)
+
     async def test_late_job_is_not_started_where_it_would_be_useless(self):
         active = new_job(run_ms=400)
         assert max_useful_ratio(active, 1.3) == pytest.approx(0.8 / 0.32)
