Check that no job is failed without cause in the soak and the random faults

No check asked whether a job that was answered as failed had a task that had failed as often as its queue allows, or under which two executors had crashed; so orders that never reached an executor could fail jobs unnoticed.

--- a/src/limpetlanding/platform/tests/test_random_faults.py
+++ b/src/limpetlanding/platform/tests/test_random_faults.py
@@ -1,7 +1,8 @@
 """Random faults during many jobs, checked on the executors' histories.
 
 Guards against overlapping runs of a task, starts beyond an executor's capacity,
-starts of refused jobs, and runs that continue without a client.
+starts of refused jobs, jobs that are failed without cause, and runs that
+continue without a client.
 """
 
 import asyncio
@@ -17,6 +18,7 @@
 )
 from limpetlanding.standin.platform_checks import (
     deadly_starts,
+    failed_without_cause,
     overlapping_runs,
     starts_beyond_capacity,
 )
@@ -45,6 +47,7 @@
         self.system = system
         self.rng = rng
         self.refused = set()
+        self.failed = set()
         self.answers = {}
         self.incarnations = dict.fromkeys(('w0', 'w1', 'w2', 'f0', 'f1'), 1)
 
@@ -59,11 +62,13 @@
         while (left := end - asyncio.get_running_loop().time()) > 0.1:
             front = rng.randrange(2)
             try:
-                status, _ = await self.system.submit(
+                status, answer = await self.system.submit(
                     job_id, content, int(left * 1000), front
                 )
             except OSError:
-                status = None
+                status, answer = None, {}
+            if status == 200 and answer['state'] == 'failed':
+                self.failed.add(job_id)
             statuses.append(status)
             if status not in {None, 502, 504}:
                 break
@@ -167,6 +172,7 @@
         history = system.history()
         assert not overlapping_runs(history)
         assert not deadly_starts(history)
+        assert not failed_without_cause(random_run.failed, history)
         for executor in system.executors:
             assert not starts_beyond_capacity(executor, CPU_PER_TASK)
             executor.end_due_runs()
--- a/src/limpetlanding/soak/seeded_run.py
+++ b/src/limpetlanding/soak/seeded_run.py
@@ -100,6 +100,7 @@
         self.system = system
         self.report = Report(seed)
         self.refused: set[str] = set()
+        self.failed: set[str] = set()
         self.fronts = [x for x in system.processes if x.startswith('front')]
 
     async def run(self) -> Report:
@@ -126,7 +127,7 @@
         running_tasks = self.system.running_tasks()
         if running_tasks:
             findings.append(f'runs without a client: {running_tasks[:3]}')
-        findings += self.system.guarantee_violations(self.refused)
+        findings += self.system.guarantee_violations(self.refused, self.failed)
         for process in self.system.processes.values():
             self.report.delays += process.delays
         lag_check.cancel()
@@ -193,6 +194,8 @@
             return 'no answer'
         except (aiohttp.ClientError, OSError):
             return 'broken'
+        if status == 200 and body['state'] == 'failed':
+            self.failed.add(job_id)
         is_completed = status == 200 and body['state'] == 'completed'
         if is_completed and self.system.done_tasks(job_id) < tasks:
             self.report.findings.append(f'{job_id}: completed too early')
--- a/src/limpetlanding/soak/system.py
+++ b/src/limpetlanding/soak/system.py
@@ -148,7 +148,9 @@
         ):
             return response.status, orjson.loads(await response.read())
 
-    def guarantee_violations(self, refused: set[str]) -> list[str]:
+    def guarantee_violations(
+        self, refused: set[str], failed: set[str]
+    ) -> list[str]:
         """Return a description of each violated guarantee.
 
         Parameters
@@ -156,6 +158,8 @@
         refused : set of str
             Ids of the jobs that were refused at every submission. The system
             has guaranteed to their clients that they have not run.
+        failed : set of str
+            Ids of the jobs that were answered as failed.
         """
         history = [run for x in self.executors for run in x.history]
         pairs = platform_checks.overlapping_runs(history)
@@ -172,6 +176,10 @@
             f'{task} was started too often, though it crashes executors'
             for task in platform_checks.deadly_starts(history)
         ]
+        violations += [
+            f'{job} was failed without cause'
+            for job in platform_checks.failed_without_cause(failed, history)
+        ]
         started = {run.task.partition('.')[0] for run in history}
         violations += [
             f'{job} was refused, and ran' for job in started & refused
--- a/src/limpetlanding/standin/platform_bodies.py
+++ b/src/limpetlanding/standin/platform_bodies.py
@@ -9,6 +9,9 @@
 
 PORTS_PER_MACHINE = 10
 
+MAX_ATTEMPTS = 2
+"""Failed runs of a task after which its job has failed."""
+
 
 def configuration(
     version: int, host: str, prefix: str, pool: str, **changes: Any
@@ -29,7 +32,7 @@
         'host': host,
         'pathPrefix': prefix,
         'service': pool,
-        'maxAttempts': 2,
+        'maxAttempts': MAX_ATTEMPTS,
         'stretch': 1.6,
         'targetLatencyMs': 60,
     }
--- a/src/limpetlanding/standin/platform_checks.py
+++ b/src/limpetlanding/standin/platform_checks.py
@@ -4,7 +4,9 @@
 from collections.abc import Iterable
 from itertools import combinations
 
+from limpetlanding.standin.platform_bodies import MAX_ATTEMPTS
 from limpetlanding.standin.platform_executor import (
+    STALLED_WORK_S,
     StandinExecutor,
     StandinRun,
 )
@@ -12,6 +14,9 @@
 CAPACITY_LAG_S = 4.5
 """Time after which a capacity that has shrunk counts on the platform."""
 
+MIN_CRASHES = 2
+"""Crashes under a task after which the platform allows its job to be failed."""
+
 MAX_DEADLY_STARTS = 5
 """Starts of a task that crashes its executors: three, and two after the third
 crash."""
@@ -24,6 +29,32 @@
     return sorted(x for x in crashed if started[x] > MAX_DEADLY_STARTS)
 
 
+def failed_without_cause(
+    failed: set[str], history: Iterable[StandinRun]
+) -> list[str]:
+    """Return the jobs that were answered as failed, but have no such task.
+
+    A task may be given up if two executors have crashed under it, or if as many
+    of its runs failed or made no progress as the queue allows.
+
+    Parameters
+    ----------
+    failed : set of str
+        Ids of the jobs that were answered as failed.
+    history : iterable of StandinRun
+        Runs of all executors.
+    """
+    crashes = Counter(run.task for run in history if run.how == 'crashed')
+    failures = Counter(
+        run.task
+        for run in history
+        if run.how == 'failed' or run.work_s == STALLED_WORK_S
+    )
+    causes = {task for task in crashes if crashes[task] >= MIN_CRASHES}
+    causes |= {task for task in failures if failures[task] >= MAX_ATTEMPTS}
+    return sorted(failed - {task.partition('.')[0] for task in causes})
+
+
 def overlapping_runs(
     history: Iterable[StandinRun],
 ) -> list[tuple[StandinRun, StandinRun]]:
--- a/src/limpetlanding/standin/platform_executor.py
+++ b/src/limpetlanding/standin/platform_executor.py
@@ -19,6 +19,9 @@
 MAX_LISTED_ENDS = 500
 LEASE_CHECK_INTERVAL_S = 0.02
 
+STALLED_WORK_S = 3600
+"""Duration of a run that makes no progress, in seconds."""
+
 
 @dataclass(slots=True, eq=False)
 class StandinRun:
@@ -273,7 +276,7 @@
             return self._answer(200)
         if number <= self.highest_run.get(task, 0):
             return self._answer(409, reason='old')
-        work_s = 3600 if self.faults.stalls else self.work_s(task)
+        work_s = STALLED_WORK_S if self.faults.stalls else self.work_s(task)
         if self.faults.fails:
             work_s = 0.001
         is_deadly = self.faults.deadly(task)
@@ -348,7 +351,7 @@
                     self.end_due_runs()
 
     def _progress_percent(self, run: StandinRun, now: float) -> float:
-        if run.work_s >= 3600:
+        if run.work_s >= STALLED_WORK_S:
             return 7
         return round(100 * (now - run.started) / run.work_s, 1)
 
