Log what shows that a run has ended

The log line of an ended run did not tell what the worker took as proof: a listed end, a missing entry, an expired lease, refused connections, an announcement or a farewell. These are the hypotheses of the incident of two runs of one task, so they could not be told apart.

--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -30,7 +30,11 @@
     StartOrder,
     StartReply,
 )
-from limpetlanding.runs.tracked_run import RunResult, TrackedRun
+from limpetlanding.runs.tracked_run import (
+    Evidence,
+    RunResult,
+    TrackedRun,
+)
 
 LEASE_MS = 900
 """Requested duration of a lease; the platform grants at most 1,000 ms."""
@@ -201,7 +205,8 @@
             return
         if known is not None:
             self._end_incarnation(
-                'another incarnation of the executor has announced itself'
+                'another incarnation of the executor has announced itself',
+                Evidence.ANNOUNCEMENT,
             )
         self._begin_incarnation(executor)
 
@@ -210,7 +215,9 @@
         known = self.executor
         if known is not None and known.executor_id == executor_id:
             self.losses.end_silence(known.incarnation, self.loop.time())
-            self._end_incarnation('the executor has left', crashed=False)
+            self._end_incarnation(
+                'the executor has left', Evidence.FAREWELL, crashed=False
+            )
 
     def start(self, held: TrackedRun) -> None:
         """Reserve the resources of a run and start it.
@@ -270,7 +277,9 @@
         self.background.spawn(self._poll_inventories(self.generation))
         self.on_change()
 
-    def _end_incarnation(self, why: str, crashed: bool = True) -> None:
+    def _end_incarnation(
+        self, why: str, evidence: Evidence, crashed: bool = True
+    ) -> None:
         known = self.executor
         logger.bind(
             step='executor',
@@ -278,21 +287,21 @@
             runs=len(self.runs),
         ).info('executor lost: {}', why)
         if crashed and known is not None:
-            self._end_lost_runs(LossKind.CRASHED)
+            self._end_lost_runs(LossKind.CRASHED, evidence)
         self.executor = None
         self.reachable = False
         self.wake.set()
         for held in list(self.runs.values()):
-            self._finish(held, RunEnd.LAPSED)
+            self._finish(held, RunEnd.LAPSED, evidence)
         self.on_change()
 
-    def _end_lost_runs(self, kind: LossKind) -> None:
+    def _end_lost_runs(self, kind: LossKind, evidence: Evidence) -> None:
         """End all runs, because the executor has crashed or is silent."""
         ended = list(self.runs.values())
         if self.executor.draining:
             # It ends on its own.
             for held in ended:
-                self._finish(held, RunEnd.LAPSED)
+                self._finish(held, RunEnd.LAPSED, evidence)
             return
         self.losses.record_loss(
             self.executor.incarnation, ended, kind, self.loop.time()
@@ -300,7 +309,7 @@
         has_crashed = kind is LossKind.CRASHED
         how = RunEnd.CRASHED if has_crashed else RunEnd.LAPSED
         for held in ended:
-            self._finish(held, how, suspect=not has_crashed)
+            self._finish(held, how, evidence, suspect=not has_crashed)
 
     def _reset_missing_answers(self) -> None:
         self.unanswered_inventories = 0
@@ -371,7 +380,7 @@
             return
         except ExecutorReplaced as error:
             if self._is_current(generation):
-                self._end_incarnation(str(error))
+                self._end_incarnation(str(error), Evidence.REPLACED)
             return
         if not self._is_current(generation):
             return
@@ -379,7 +388,9 @@
             inventory.start_time_ms != executor.start_time_ms
             and inventory.start_time_ms
         ):
-            self._end_incarnation('the executor has restarted')
+            self._end_incarnation(
+                'the executor has restarted', Evidence.REPLACED
+            )
             return
         self.acknowledged_by_executor = acknowledged
         self._apply_inventory(inventory, sent)
@@ -410,9 +421,9 @@
 
     def _end_lapsed_runs(self) -> None:
         if self.refused_connections >= MIN_REFUSED_CONNECTIONS:
-            self._end_lost_runs(LossKind.CRASHED)
+            self._end_lost_runs(LossKind.CRASHED, Evidence.REFUSED)
         elif self.clock.is_past(self.last_lease_ms, self.loop.time()):
-            self._end_lost_runs(LossKind.SILENT)
+            self._end_lost_runs(LossKind.SILENT, Evidence.LEASE)
 
     def _apply_inventory(self, inventory: Inventory, sent: float) -> None:
         now = self.loop.time()
@@ -430,7 +441,7 @@
                 self.acknowledged = end.number
             held = self.runs.get((end.task, end.run))
             if held is not None:
-                self._finish(held, _run_end(held, end.how))
+                self._finish(held, _run_end(held, end.how), Evidence.LISTED)
         active = {(run.task, run.run): run.percent for run in inventory.active}
         for key, held in list(self.runs.items()):
             if key in active:
@@ -441,9 +452,11 @@
 
     def _handle_unlisted_run(self, held: TrackedRun, sent: float) -> None:
         if held.listed_after is not None and held.listed_after < sent:
-            self._finish(held, held.requested_end or RunEnd.LAPSED)
+            how = held.requested_end or RunEnd.LAPSED
+            self._finish(held, how, Evidence.UNLISTED)
         elif self._can_never_start(held, sent):
-            self._finish(held, held.requested_end or RunEnd.REFUSED)
+            how = held.requested_end or RunEnd.REFUSED
+            self._finish(held, how, Evidence.LEASE)
 
     def _can_never_start(self, held: TrackedRun, sent: float) -> bool:
         # The executor rejects a start whose lease has expired.
@@ -498,7 +511,7 @@
             if reply.refusal != 'expired':
                 self._handle_start_reply(held, reply)
                 return
-        self._finish(held, RunEnd.REFUSED)
+        self._finish(held, RunEnd.REFUSED, Evidence.START_REFUSED)
 
     async def _send_start(
         self, held: TrackedRun, generation: int
@@ -530,7 +543,8 @@
             logger.bind(
                 request_id=held.job_id, task=held.task, run=held.run
             ).info('start not delivered: {}', error)
-            self._finish(held, held.requested_end or RunEnd.REFUSED)
+            how = held.requested_end or RunEnd.REFUSED
+            self._finish(held, how, Evidence.UNDELIVERED)
         except (ExecutorUnavailable, FenceRejected, TimeoutError) as error:
             self._note_missing_answer()
             logger.bind(
@@ -541,7 +555,7 @@
             self.stop(held, RunEnd.REFUSED)
         except ExecutorReplaced as error:
             if self._is_current(generation):
-                self._end_incarnation(str(error))
+                self._end_incarnation(str(error), Evidence.REPLACED)
         return None
 
     def _note_missing_answer(self) -> None:
@@ -567,7 +581,7 @@
         logger.bind(request_id=held.job_id, task=held.task, run=held.run).info(
             'start refused: {}', reply.refusal
         )
-        self._finish(held, how, suspect=suspect)
+        self._finish(held, how, Evidence.START_REFUSED, suspect=suspect)
 
     async def _stop(self, held: TrackedRun) -> None:
         while self.runs.get(held.key) is held and self.executor is not None:
@@ -596,11 +610,15 @@
             return False
         except ExecutorReplaced as error:
             if self._is_current(generation):
-                self._end_incarnation(str(error))
+                self._end_incarnation(str(error), Evidence.REPLACED)
         return True
 
     def _finish(
-        self, held: TrackedRun, how: RunEnd, suspect: bool = False
+        self,
+        held: TrackedRun,
+        how: RunEnd,
+        evidence: Evidence,
+        suspect: bool = False,
     ) -> None:
         if self.runs.pop(held.key, None) is None:
             return
@@ -614,7 +632,7 @@
         elif suspect or how in {RunEnd.FAILED, RunEnd.STALLED}:
             self._record_failure(held, how, now)
         is_suspect = suspect or self.health_state() != 'good'
-        self.on_end(RunResult(held, how, run_ms, is_suspect))
+        self.on_end(RunResult(held, how, run_ms, is_suspect, evidence))
         self.on_change()
 
     def _record_failure(
--- a/src/limpetlanding/runs/tracked_run.py
+++ b/src/limpetlanding/runs/tracked_run.py
@@ -1,11 +1,34 @@
 """Runs that a worker has accepted, and how they end."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 from math import inf
 
 from limpetlanding.runs.model import Resources, RunEnd
 
 
+class Evidence(StrEnum):
+    """What shows that a run has ended, or never started."""
+
+    # The executor lists its end.
+    LISTED = 'end listed'
+    # The executor lists it neither as active nor as ended, although its start
+    # or its stop had been confirmed before.
+    UNLISTED = 'not listed'
+    # The executor has refused its start.
+    START_REFUSED = 'start refused'
+    # No connection could be opened to send its start.
+    UNDELIVERED = 'start not delivered'
+    # Its lease has expired on the slowest clock.
+    LEASE = 'lease expired'
+    # Nothing listens at the address of the executor, which is on this machine.
+    REFUSED = 'connections refused'
+    # A later incarnation of the executor answers.
+    REPLACED = 'another incarnation answers'
+    ANNOUNCEMENT = 'announcement'
+    FAREWELL = 'farewell'
+
+
 @dataclass(slots=True, eq=False)
 class TrackedRun:
     """A run that occupies resources at the executor.
@@ -64,3 +87,4 @@
     how: RunEnd
     run_ms: float
     suspect: bool
+    evidence: Evidence
--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -315,6 +315,7 @@
             run_ms=round(result.run_ms),
             estimate_ms=round(held.estimate_ms),
             health=self.supervisor.health_state(),
+            evidence=result.evidence.value,
         ).info('run ended: {}', result.how.value)
         self._queue_outcome(
             held.owner,
