End the lease if the executor does not confirm a stop

Two runs of one task could be active at the same time: a worker that had lost a front, or was told that a client had left, stopped the runs, but went on to renew the lease of the executor while its stops got no answer. An executor may carry out such a call seconds later. The client submits its job again 1.3 s after its connection broke, and a front starts the runs of a lost worker elsewhere after 1.77 s; nothing had proved by then that the first runs had ended. The class of fault: a decision relies on an order that was sent, not on its confirmation or on a right that expires.

A lease now ends at most 900 ms after the oldest stop that is not confirmed, and so does the lease that a start carries. Confirmed stops, usually within a few ms, change nothing; otherwise the other runs at the executor lapse with the stopped one, and are started elsewhere.

--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -130,6 +130,7 @@
         self.generation = 0
         self.runs: dict[tuple[str, int], TrackedRun] = {}
         self.unknown_runs: set[tuple[str, int]] = set()
+        self.unknown_runs_since: float = 0
         # Until then, unknown runs may occupy resources even if not listed.
         self.unknown_runs_until: float = 0
         self.clock = ExecutorClock()
@@ -235,6 +236,7 @@
             held.requested_end = how
         if not held.stop_sent:
             held.stop_sent = True
+            held.stop_requested_at = self.loop.time()
             self.background.spawn(self._stop(held))
 
     def stop_owner(self, owner: str) -> int:
@@ -335,9 +337,26 @@
         return self.executor is not None and self.generation == generation
 
     def _new_lease_end_ms(self) -> int:
-        now_ms = self.clock.read_at(self.loop.time()) or 0
-        self.last_lease_ms = max(self.last_lease_ms, now_ms + LEASE_MS)
-        return now_ms + LEASE_MS
+        now = self.loop.time()
+        now_ms = self.clock.read_at(now) or 0
+        lease_end_ms = now_ms + LEASE_MS - self._overdue_stop_ms(now)
+        self.last_lease_ms = max(self.last_lease_ms, lease_end_ms)
+        return lease_end_ms
+
+    def _overdue_stop_ms(self, now: float) -> int:
+        """Return the age of the oldest stop without an answer, in ms.
+
+        The executor has one lease for all runs. A run that has to be stopped
+        must end within the duration of a lease, even if the stop is lost.
+        """
+        requested = [
+            held.stop_requested_at
+            for held in self.runs.values()
+            if held.stop_requested_at is not None
+        ]
+        if self.unknown_runs:
+            requested.append(self.unknown_runs_since)
+        return round((now - min(requested, default=now)) * 1000)
 
     async def _poll_inventories(self, generation: int) -> None:
         while self._is_current(generation):
@@ -472,6 +491,8 @@
             stop_s = self.stop_s + STOP_MARGIN_S
             self.unknown_runs_until = self.loop.time() + stop_s
             self.loop.call_later(stop_s, self.on_change)
+        if keys and not self.unknown_runs:
+            self.unknown_runs_since = self.loop.time()
         for key in sorted(keys - self.unknown_runs):
             self.background.spawn(self._stop_unknown_run(*key))
         self.unknown_runs = keys
@@ -586,6 +607,7 @@
     async def _stop(self, held: TrackedRun) -> None:
         while self.runs.get(held.key) is held and self.executor is not None:
             if await self._send_stop(held.task, held.run):
+                held.stop_requested_at = None
                 # A run that is being stopped occupies its resources, although
                 # it may be listed neither as active nor as ended.
                 held.listed_after = (
--- a/src/limpetlanding/runs/tracked_run.py
+++ b/src/limpetlanding/runs/tracked_run.py
@@ -72,6 +72,8 @@
     progress_at: float = 0
     requested_end: RunEnd | None = None
     stop_sent: bool = False
+    # When the stop was requested; None once the executor has confirmed it.
+    stop_requested_at: float | None = None
 
     @property
     def key(self) -> tuple[str, int]:
