Show that refused connections may end the runs of a living executor

Seen in the rig: the path to an executor is reset and refuses connections 0.1 s after a start at 2.500 s. The task starts elsewhere at 2.662 s, the first run is done at 3.300 s.

Cause: RunSupervisor._end_lapsed_runs takes two refused connections (MIN_REFUSED_CONNECTIONS) for the end of the process, without waiting for the lease.

--- a/src/limpetlanding/platform/tests/test_overlapping_runs.py
+++ b/src/limpetlanding/platform/tests/test_overlapping_runs.py
@@ -53,3 +53,20 @@
             await submit(system)
             await system.settle(1)
             assert not overlapping_runs(system.history())
+
+
+class TestRefusedConnections:
+    """Guards against a refusing path that counts as a crash."""
+
+    @known_red('refused connections count as a crash')
+    async def test_path_to_a_living_executor_refuses_connections(self):
+        async with FaultySystem().run() as system:
+            use_long_runs(system)
+            job = submit(system)
+            number = await started(system)
+            system.paths[number].refuse()
+            system.paths[number].reset()
+            await job
+            await system.settle(1)
+            assert not overlapping_runs(system.history())
+            await system.paths[number].open()
