Show that a farewell may end the runs of an executor that goes on

Seen in the rig: an executor that is draining sends its farewell, and does not get the answer, 0.1 s after a start at 2.500 s. The task starts elsewhere at 2.600 s, the first run is done at 3.300 s.

Cause: RunSupervisor.handle_departure reports all runs as ended when the farewell arrives.

--- a/src/limpetlanding/platform/tests/test_overlapping_runs.py
+++ b/src/limpetlanding/platform/tests/test_overlapping_runs.py
@@ -70,3 +70,23 @@
             await system.settle(1)
             assert not overlapping_runs(system.history())
             await system.paths[number].open()
+
+
+class TestFarewell:
+    """Guards against a farewell that ends the runs of a living executor."""
+
+    @known_red('farewell ends runs at once')
+    async def test_farewell_whose_answer_is_lost(self):
+        async with FaultySystem().run() as system:
+            use_long_runs(system)
+            job = submit(system)
+            number = await started(system)
+            executor = system.executors[number]
+            executor.draining = True
+            await system.announce(number, executor.announcement())
+            # Without an answer it ends some seconds later.
+            system.unheard.add(number)
+            await system.leave(number, executor.executor_id)
+            await job
+            await system.settle(1)
+            assert not overlapping_runs(system.history())
