Show that a late farewell may end the runs of a living executor

Seen in the rig: after a restart under the same id, the farewell of the earlier life arrives 0.1 s after a start at 3.000 s. The task starts elsewhere at 3.100 s, the first run is done at 3.800 s.

Cause: a farewell names only the id, and RunSupervisor.handle_departure compares nothing else.

--- a/src/limpetlanding/platform/tests/test_overlapping_runs.py
+++ b/src/limpetlanding/platform/tests/test_overlapping_runs.py
@@ -90,3 +90,18 @@
             await job
             await system.settle(1)
             assert not overlapping_runs(system.history())
+
+    @known_red('farewell ends runs at once')
+    async def test_late_farewell_of_an_earlier_life_under_the_same_id(self):
+        async with FaultySystem().run() as system:
+            use_long_runs(system)
+            for number, executor in enumerate(system.executors):
+                system.restart_at_once(number)
+                await system.announce(number, executor.announcement())
+            await asyncio.sleep(0.5)
+            job = submit(system)
+            number = await started(system)
+            await system.leave(number, system.executors[number].executor_id)
+            await job
+            await system.settle(1)
+            assert not overlapping_runs(system.history())
