Show that an announcement may end the runs of a living executor

Seen in the rig: executors have started again 0.5 s earlier by the time of day than their earlier life, under the same or another id. An announcement of the earlier life arrives 0.1 s after a start at 7.500 s; the task starts elsewhere at 7.602 s, the first run is done at 8.300 s. The same is seen with an announcement of another writer with a later start in which zone, version, slots or clockMs is missing or of another type (start at 2.500 s, next start at 2.602 s).

Announcements with a wrong service, address, state, capacity, seq or born are ignored, as they should be.

--- a/src/limpetlanding/platform/tests/faulty_system.py
+++ b/src/limpetlanding/platform/tests/faulty_system.py
@@ -182,15 +182,41 @@
         await asyncio.sleep(refused_s)
         self.network.refused -= paths
 
-    def restart_at_once(self, number):
-        """Crash an executor and start it again under the id that it had."""
+    def restart_at_once(self, number, executor_id='', born_ms=None):
+        """Crash an executor and start it again at once.
+
+        Parameters
+        ----------
+        number : int
+            Number of the executor.
+        executor_id : str
+            Id of the new life; the id that it had if empty.
+        born_ms : int, optional
+            Start of the new life by the time of day, which may have been
+            stepped back.
+        """
         executor = self.executors[number]
         for transport in executor.transports:
             transport.abort()
-        executor.restart(executor.executor_id)
+        executor.restart(executor_id or executor.executor_id)
+        if born_ms is not None:
+            executor.born_ms = born_ms
+
+    async def announce_as(self, number, executor_id, content):
+        """Send bytes as the heartbeat of an id; return the status."""
+        async with self.session.put(
+            _instance_url(number, executor_id), data=content
+        ) as response:
+            await response.read()
+            return response.status
 
     async def leave(self, number, executor_id):
         """Send the farewell of an executor to a worker."""
-        url = f'http://127.0.0.1:{CONTROL_PORT + number}/api/instances/'
-        async with self.session.delete(url + executor_id) as response:
+        url = _instance_url(number, executor_id)
+        async with self.session.delete(url) as response:
             await response.read()
+
+
+def _instance_url(number, executor_id):
+    control = f'127.0.0.1:{CONTROL_PORT + number}'
+    return f'http://{control}/api/instances/{executor_id}'
--- a/src/limpetlanding/platform/tests/test_overlapping_runs.py
+++ b/src/limpetlanding/platform/tests/test_overlapping_runs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import orjson
 import pytest
 
 from limpetlanding.platform.tests.faulty_system import FaultySystem
@@ -18,6 +19,10 @@
 # The task starts elsewhere 2.1 s after the reset at the latest.
 ANSWER_S = 4
 OK = 200
+CLOCK_STEP_MS = 500
+# Fields of an announcement that are decoded, and fields that are not.
+DECODED_FIELDS = ('service', 'address', 'state', 'capacity', 'seq', 'born')
+OTHER_FIELDS = ('zone', 'version', 'slots', 'clockMs')
 
 
 def use_long_runs(system, work_s=WORK_S):
@@ -37,6 +42,16 @@
     return pytest.mark.xfail(strict=True, reason=f'KNOWN-RED {cause}')
 
 
+def wrong_fields(names):
+    """Return changes that omit each field, or give it another type."""
+    return [{name: content} for name in names for content in (None, ['x'])]
+
+
+def reported_ends(system):
+    """Return the number of ends of runs that the workers have reported."""
+    return sum(sum(worker.counts.values()) for worker in system.workers)
+
+
 async def started(system):
     """Return the number of the executor that has started the task."""
     await asyncio.sleep(START_S)
@@ -137,3 +152,67 @@
             async with asyncio.timeout(ANSWER_S):
                 status, _ = await job
             assert status == OK
+
+
+class TestForeignAnnouncement:
+    """Guards against announcements that end the runs of another executor."""
+
+    @known_red('announcement ends the runs of a living executor')
+    @pytest.mark.parametrize('suffix', ['', '-other'])
+    async def test_late_one_of_an_earlier_life_with_a_later_start(self, suffix):
+        async with FaultySystem().run() as system:
+            use_long_runs(system)
+            late = [executor.announcement() for executor in system.executors]
+            ids = [executor.executor_id for executor in system.executors]
+            for number, fields in enumerate(late):
+                born_ms = fields['born'] - CLOCK_STEP_MS
+                system.restart_at_once(number, ids[number] + suffix, born_ms)
+            # The workers find the new lives by their calls.
+            await system.settle(5)
+            job = submit(system)
+            number = await started(system)
+            await system.announce_as(
+                number, ids[number], orjson.dumps(late[number])
+            )
+            assert await job == (OK, {'state': 'completed'})
+            await system.settle(1)
+            assert not overlapping_runs(system.history())
+            assert len(system.history()) == reported_ends(system) == 1
+
+    @pytest.mark.parametrize('suffix', ['', '-other'])
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'service': 'unnamed'},
+            {'state': 'resting'},
+            *wrong_fields(DECODED_FIELDS),
+            *(
+                pytest.param(
+                    changes,
+                    marks=known_red('announcement of another writer is used'),
+                )
+                for changes in wrong_fields(OTHER_FIELDS)
+            ),
+        ],
+        ids=str,
+    )
+    async def test_one_of_another_writer(self, suffix, changes):
+        async with FaultySystem().run() as system:
+            use_long_runs(system)
+            job = submit(system)
+            number = await started(system)
+            executor = system.executors[number]
+            fields = executor.announcement()
+            fields |= {'seq': 99, 'born': fields['born'] + CLOCK_STEP_MS}
+            fields |= changes
+            await system.announce_as(
+                number,
+                executor.executor_id + suffix,
+                orjson.dumps(
+                    {k: v for k, v in fields.items() if v is not None}
+                ),
+            )
+            assert await job == (OK, {'state': 'completed'})
+            await system.settle(1)
+            assert not overlapping_runs(system.history())
+            assert len(system.history()) == reported_ends(system) == 1
