Show that a start may be carried out by a later life of its executor

Seen in the rig: a start at 2.500 s gets no answer and the worker stops the run; the task starts elsewhere at 3.150 s. The executor starts again under its id at 3.300 s and carries out the start at 3.700 s, until the lease lapses at 4.699 s. The run of the task elsewhere is done at 6.150 s. It is the same whether the new life has announced itself or not.

Cause: the new life knows neither the stop nor the fencing token, and its clock starts anew, so the deadline of the start has not passed. The worker does not call a new life without runs for 2 s, and uses the token that the start carried.

--- a/src/limpetlanding/platform/tests/test_overlapping_runs.py
+++ b/src/limpetlanding/platform/tests/test_overlapping_runs.py
@@ -20,6 +20,9 @@
 ANSWER_S = 4
 OK = 200
 CLOCK_STEP_MS = 500
+# The task starts elsewhere 0.4 s after a start without an answer.
+RESTART_S = 0.7
+LATE_START_S = 1.2
 # Fields of an announcement that are decoded, and fields that are not.
 DECODED_FIELDS = ('service', 'address', 'state', 'capacity', 'seq', 'born')
 OTHER_FIELDS = ('zone', 'version', 'slots', 'clockMs')
@@ -216,3 +219,42 @@
             await system.settle(1)
             assert not overlapping_runs(system.history())
             assert len(system.history()) == reported_ends(system) == 1
+
+
+class TestLateStart:
+    """Guards against starts that a later life of an executor carries out."""
+
+    @pytest.mark.parametrize(
+        'is_heard',
+        [
+            pytest.param(True, marks=known_red('late start is not rejected')),
+            pytest.param(False, marks=known_red('new life is not noticed')),
+        ],
+    )
+    async def test_start_carried_out_by_a_later_life_under_the_same_id(
+        self, is_heard
+    ):
+        async with FaultySystem().run() as system:
+            use_long_runs(system, SLOW_WORK_S)
+            for executor in system.executors:
+                executor.faults.late_orders_survive = True
+                executor.faults.late_orders_s = LATE_START_S
+            job = submit(system)
+            await asyncio.sleep(START_S)
+            number = next(
+                x for x in range(2) if system.workers[x].supervisor.runs
+            )
+            for executor in system.executors:
+                executor.faults.late_orders_s = None
+            await asyncio.sleep(RESTART_S)
+            assert len(system.history()) == 1
+            system.restart_at_once(number)
+            if is_heard:
+                await system.announce(
+                    number, system.executors[number].announcement()
+                )
+            else:
+                system.unheard.add(number)
+            await job
+            await system.settle(1)
+            assert not overlapping_runs(system.history())
--- a/src/limpetlanding/standin/platform_executor.py
+++ b/src/limpetlanding/standin/platform_executor.py
@@ -67,6 +67,9 @@
         Calls except ``/health`` get no answer and have no effect.
     late_orders_s : float or None
         Starts and stops get no answer and are executed after this time.
+    late_orders_survive : bool
+        Late orders are also executed by a later life under the same id;
+        otherwise a restart drops them.
     fails : bool
         Runs end as failed; those that start meanwhile end after a millisecond.
     stalls : bool
@@ -86,6 +89,7 @@
 
     silent: bool = False
     late_orders_s: float | None = None
+    late_orders_survive: bool = False
     fails: bool = False
     stalls: bool = False
     unhealthy: bool = False
@@ -257,8 +261,12 @@
     def _execute_late(
         self, handler: Any, fields: dict[str, Any], expected: str | None
     ) -> Any:
+        life = self.started_at
+
         async def carry_out() -> None:
             await asyncio.sleep(self.faults.late_orders_s or 0)
+            if self.started_at != life and not self.faults.late_orders_survive:
+                return
             await self._execute(handler, fields, expected)
 
         return asyncio.ensure_future(carry_out())
--- a/src/limpetlanding/standin/tests/test_platform_executor.py
+++ b/src/limpetlanding/standin/tests/test_platform_executor.py
@@ -37,3 +37,16 @@
         async for _ in start_late(executor):
             executor.crash()
         assert not executor.history
+
+    async def test_later_life_carries_out_no_order_of_an_earlier_one(self):
+        executor = StandinExecutor('i-1')
+        async for _ in start_late(executor):
+            executor.restart('i-1')
+        assert not executor.history
+
+    async def test_later_life_carries_out_an_order_on_request(self):
+        executor = StandinExecutor('i-1')
+        executor.faults.late_orders_survive = True
+        async for _ in start_late(executor):
+            executor.restart('i-1')
+        assert len(executor.history) == 1
