Take refused connections as a crash only on the same machine

Two refused connections 30 ms apart end the runs of an executor at once. That holds only if no network path can refuse connections in its place: with a path that refuses and resets, the runs of a living executor were reported as crashed, and the next runs overlapped them for 0.64 s.

The client now compares the address of the executor with the host of its own process. For any other address, and while the executor drains, the runs end with their lease.

--- a/src/limpetlanding/platform/executor.py
+++ b/src/limpetlanding/platform/executor.py
@@ -44,10 +44,13 @@
     ----------
     address : str
         ``host:port`` of the executor.
+    own_host : str
+        Host of this process; empty if unknown.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, own_host: str = '') -> None:
         self.address = address
+        self.is_local = address.rpartition(':')[0] == own_host
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=MAX_CONNECTIONS, keepalive_timeout=KEEP_ALIVE_S
--- a/src/limpetlanding/platform/roles.py
+++ b/src/limpetlanding/platform/roles.py
@@ -137,7 +137,11 @@
     async with (
         _link_node('worker', settings) as node,
         _closing(LogStore(settings.store_address)) as store,
-        _closing(ExecutorClient(settings.executor_address)) as port,
+        _closing(
+            ExecutorClient(
+                settings.executor_address, settings.address.rpartition(':')[0]
+            )
+        ) as port,
     ):
         worker = Worker(node, port, settings.stop_s)
         registration = Registration(
--- a/src/limpetlanding/platform/tests/faulty_system.py
+++ b/src/limpetlanding/platform/tests/faulty_system.py
@@ -96,6 +96,9 @@
     the names of the two processes.
     """
 
+    # Each executor is on another machine than its worker.
+    worker_host = ''
+
     def __init__(self, worker_count=2, front_count=1):
         super().__init__(worker_count, front_count)
         self.network = FaultyNetwork()
--- a/src/limpetlanding/platform/tests/rig.py
+++ b/src/limpetlanding/platform/tests/rig.py
@@ -90,6 +90,9 @@
         Number of fronts; they are numbered from 0.
     """
 
+    # Own host in the settings of the workers.
+    worker_host = '127.0.0.1'
+
     def __init__(self, worker_count=2, front_count=1):
         self.worker_count = worker_count
         self.front_count = front_count
@@ -177,7 +180,7 @@
         """Start the worker of an executor."""
         stack = AsyncExitStack()
         node = self.new_node('worker', f'w{number}', number, incarnation)
-        port = ExecutorClient(self.executor_address(number))
+        port = ExecutorClient(self.executor_address(number), self.worker_host)
         worker = Worker(node, port)
         stack.push_async_callback(port.close)
         stack.push_async_callback(worker.supervisor.close)
--- a/src/limpetlanding/platform/tests/test_overlapping_runs.py
+++ b/src/limpetlanding/platform/tests/test_overlapping_runs.py
@@ -81,7 +81,6 @@
 class TestRefusedConnections:
     """Guards against a refusing path that counts as a crash."""
 
-    @known_red('refused connections count as a crash')
     async def test_path_to_a_living_executor_refuses_connections(self):
         async with FaultySystem().run() as system:
             use_long_runs(system)
--- a/src/limpetlanding/runs/ports.py
+++ b/src/limpetlanding/runs/ports.py
@@ -223,6 +223,10 @@
     `ExecutorReplaced` and `FenceRejected`.
     """
 
+    # Whether the executor is on this machine, so that no network path can
+    # refuse connections in its place.
+    is_local: bool
+
     async def start(self, to: CallTarget, order: StartOrder) -> StartReply:
         """Start a run."""
 
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -54,9 +54,9 @@
 """Consecutive unanswered inventories after which the lease is not renewed."""
 
 MIN_REFUSED_CONNECTIONS = 2
-"""Consecutive refused connections after which the process of the executor has
-surely ended. A process that is ending may close its listener a little earlier.
-"""
+"""Consecutive refused connections after which the process of an executor on
+this machine has surely ended. A process that is ending may close its listener a
+little earlier."""
 
 FENCING_TOKEN_INCREMENT = 5_000
 """Added to a fencing token that the executor rejects as too low, for example
@@ -513,15 +513,19 @@
 
     def _end_lapsed_runs(self) -> None:
         ended = list(self.runs.values())
-        # An executor that drains may close its listener before its runs end.
-        if (
-            self.refused_connections >= MIN_REFUSED_CONNECTIONS
-            and not self.executor.draining
-        ):
+        if self._has_surely_crashed():
             self._end_lost_runs(LossKind.CRASHED, Evidence.REFUSED, ended)
         elif self.clock.is_past(self.last_lease_ms, self.loop.time()):
             self._end_lost_runs(LossKind.SILENT, Evidence.LEASE, ended)
 
+    def _has_surely_crashed(self) -> bool:
+        # An executor that drains may close its listener before its runs end.
+        return (
+            self.port.is_local
+            and not self.executor.draining
+            and self.refused_connections >= MIN_REFUSED_CONNECTIONS
+        )
+
     def _apply_inventory(self, inventory: Inventory, sent: float) -> None:
         now = self.loop.time()
         self.clock.record(inventory.clock_ms, now)
