Bound the lease by the last message of each front with runs

A worker that is late does not count its own lateness as silence of a front, so that a process that is slow all the time may notice the loss of a front at any later time. Until then it renewed the lease, while the front had counted the worker as lost and started the runs elsewhere 1.77 s later. A lease now ends at most 0.75 s and its usual duration after the last message that was read from each front with runs, which is what the front's limit assumes.

The new test, in which a worker never looks at a silent link, failed before: the first run was active until 5.5 s, the second one started at 5.2 s.

--- a/src/limpetlanding/platform/tests/test_unconfirmed_stops.py
+++ b/src/limpetlanding/platform/tests/test_unconfirmed_stops.py
@@ -2,6 +2,10 @@
 
 import asyncio
 
+from limpetlanding.platform.tests.faulty_system import (
+    FaultySystem,
+    link_address,
+)
 from limpetlanding.platform.tests.rig import System, body
 from limpetlanding.standin.platform_checks import overlapping_runs
 
@@ -50,3 +54,26 @@
             job = await start_job(system)
             job.cancel()
             await check_resubmission(system)
+
+
+class TestSlowWorker:
+    """Guards against runs of a worker that is too slow to notice a loss."""
+
+    async def test_run_ends_if_its_worker_does_not_notice_a_silent_front(self):
+        async with FaultySystem(worker_count=2).run() as system:
+            for executor in system.executors:
+                executor.work_s = lambda _: WORK_S
+            content = body(1, estimateMs=3000)
+            job = asyncio.create_task(system.submit(JOB, content, WAIT_MS))
+            await asyncio.sleep(0.3)
+            number = system.executors.index(busy_executor(system))
+            ends = link_address('f0'), link_address(f'w{number}')
+            system.network.refused |= {ends, ends[::-1]}
+            for link in system.links_between('f0', f'w{number}'):
+                link.silence()
+            for channel in system.workers[number].node.channels:
+                for link in channel.links:
+                    # As if the process were late at each look at its links.
+                    link.tick_timer.cancel()
+            assert await job == (200, {'state': 'completed'})
+            assert not overlapping_runs(system.history())
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import replace
+from math import inf
 
 from loguru import logger
 
@@ -40,6 +41,10 @@
 LEASE_MS = 900
 """Requested duration of a lease."""
 
+MAX_OWNER_SILENCE_S = 0.75
+"""The owner of a run that has been silent for longer counts as lost. A process
+that is slow notices that later, but no lease may end later because of it."""
+
 MAX_LEASE_MS = 1000
 """Longest lease that the platform grants; a longer one is shortened to it."""
 
@@ -127,6 +132,9 @@
         self.stop_s = stop_s
         self.on_end = on_end
         self.on_change = on_change
+        # Returns the time, in monotonic seconds, of the last message of the
+        # owner of a run that has been silent for longest.
+        self.owners_heard_at: Callable[[], float] = lambda: inf
         self.loop = asyncio.get_running_loop()
         self.now = clock or self.loop.time
         self.executor: Executor | None = None
@@ -385,12 +393,16 @@
     def _new_lease_end_ms(self) -> int:
         now = self.loop.time()
         now_ms = self.clock.read_at(now) or 0
-        lease_end_ms = now_ms + LEASE_MS - self._overdue_stop_ms(now)
+        overdue_s = max(
+            self._overdue_stop_s(now),
+            now - self.owners_heard_at() - MAX_OWNER_SILENCE_S,
+        )
+        lease_end_ms = now_ms + LEASE_MS - round(1000 * max(overdue_s, 0))
         self.last_lease_ms = max(self.last_lease_ms, lease_end_ms)
         return lease_end_ms
 
-    def _overdue_stop_ms(self, now: float) -> int:
-        """Return the age of the oldest stop without an answer, in ms.
+    def _overdue_stop_s(self, now: float) -> float:
+        """Return the age of the oldest stop without an answer, in seconds.
 
         The executor has one lease for all runs. A run that has to be stopped
         must end within the duration of a lease, even if the stop is lost.
@@ -402,7 +414,7 @@
         ]
         if self.unknown_runs:
             requested.append(self.unknown_runs_since)
-        return round((now - min(requested, default=now)) * 1000)
+        return now - min(requested, default=now)
 
     async def _poll_inventories(self, generation: int) -> None:
         while self._is_current(generation):
--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -89,6 +89,7 @@
             port, self._run_ended, self._schedule_report, stop_s, node.clock
         )
         self.supervisor.losses.on_loss = self._executor_lost
+        self.supervisor.owners_heard_at = self._owners_heard_at
         self.catalogs = CatalogHolder(self._broadcast_catalog)
         self.queued_outcomes: dict[str, list[RunOutcome]] = defaultdict(list)
         self.blocked_starts: dict[str, float] = {}
@@ -330,6 +331,18 @@
             self.loop.call_soon(self._send_outcomes, owner)
         self.queued_outcomes[owner].append(outcome)
 
+    def _owners_heard_at(self) -> float:
+        # The runs of fronts without a channel are being stopped.
+        owners = {held.owner for held in self.supervisor.runs.values()}
+        return min(
+            (
+                channel.heard_at
+                for channel in self.node.channels
+                if channel.peer.incarnation in owners
+            ),
+            default=inf,
+        )
+
     def _send_outcomes(self, owner: str) -> None:
         outcomes = self.queued_outcomes.pop(owner, [])
         channel = next(
--- a/src/limpetlanding/wire/channel.py
+++ b/src/limpetlanding/wire/channel.py
@@ -109,6 +109,9 @@
         self.unlinked = asyncio.Event()
         self.lifecycle = Lifecycle(PeerState, peer.node)
         self.link_lost_at: float | None = None
+        # When the last frame of the peer was read. Unlike the silence of a
+        # link, this also counts the time in which this process was late.
+        self.heard_at = self.loop.time()
         self.on_heartbeat: Callable[[Channel, int], None] | None = None
         # Whether the owner of the channel has work at the peer, or the peer
         # here, so that either must soon notice the loss of the other.
@@ -212,6 +215,7 @@
 
     def receive(self, link: Link, frame: Frame) -> None:
         """Handle one frame that arrived on `link`."""
+        self.heard_at = self.loop.time()
         if self.closed.is_set():
             return
         if frame.kind == FrameKind.REPLY:
