Read the records of workers field by field

Seen: one record with a failure domain nested 1,000 deep made every front stop following the workers. Building the message of the error raised RecursionError, which nothing caught; the stream was opened again, met the same record, and so on without end. Records with a capacity of strings or beyond any limit, a port of 99999 or a host name were taken as workers.

Cause: the fields were used before they were checked. The record is now decoded like all other bodies, with numbers from 0 to 2^53 and an IPv4 address with a port from 1 to 65535, and an unreadable one is ignored alone. The check of an address stands in wire/addresses.py.

--- a/src/limpetlanding/platform/decode.py
+++ b/src/limpetlanding/platform/decode.py
@@ -18,6 +18,10 @@
 MAX_TASKS_PER_STEP = 100
 """The platform's jobs have at most this many tasks in one step."""
 
+MAX_NUMBER = 2**53
+"""Largest number in a body. All encoders of JSON and msgpack represent sums of
+a few such numbers exactly."""
+
 _RUN_ENDS = {
     'done': RunEnd.DONE,
     'failed': RunEnd.FAILED,
@@ -234,6 +238,22 @@
     return value
 
 
+def count_field(
+    fields: dict[str, Any], name: str, default: int, step: str
+) -> int:
+    """Return a whole number from 0 to `MAX_NUMBER`.
+
+    Raises
+    ------
+    Malformed
+        If the field is of another type or out of range.
+    """
+    value = optional_field(fields, name, int, default, step)
+    if not 0 <= value <= MAX_NUMBER:
+        raise Malformed(f'{name}: {value} is out of range', step=step)
+    return value
+
+
 def optional_field(
     fields: dict[str, Any], name: str, kind: type, default: Any, step: str
 ) -> Any:
--- a/src/limpetlanding/platform/store.py
+++ b/src/limpetlanding/platform/store.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import base64
-import re
 from collections.abc import AsyncIterator, Iterator
 from dataclasses import asdict
 
@@ -11,7 +10,8 @@
 from loguru import logger
 
 from limpetlanding.platform.decode import Malformed, decode_catalog
-from limpetlanding.runs.model import Catalog, Resources
+from limpetlanding.platform.records import worker_record
+from limpetlanding.runs.model import Catalog
 from limpetlanding.runs.ports import StoreUnavailable, WorkerRecord
 
 CONFIG_TOPIC = 'keyed.op'
@@ -33,8 +33,6 @@
 Record = tuple[str, bytes]
 """Key and value of a record."""
 
-_ADDRESS = re.compile(r'[^\s:]+:\d{1,5}')
-
 _OK = 200
 _GONE = 410
 _NUMBER_BYTES = 8
@@ -87,14 +85,14 @@
         """Return the record of a worker; see `StorePort`."""
         newest, _ = await self._read_newest(WORKERS_TOPIC)
         value = dict(newest).get(name)
-        return None if value is None else _worker_record(name, value)
+        return None if value is None else worker_record(name, value)
 
     async def workers(self) -> AsyncIterator[list[WorkerRecord]]:
         """Yield the records of workers that register; see `StorePort`."""
         async for changes in self._changes(
             WORKERS_TOPIC, WORKERS_WAIT_MS, WORKERS_TIMEOUT_S
         ):
-            records = [_worker_record(*change) for change in changes]
+            records = [worker_record(*change) for change in changes]
             yield [record for record in records if record is not None]
 
     async def close(self) -> None:
@@ -198,21 +196,6 @@
         return None
 
 
-def _worker_record(name: str, value: bytes) -> WorkerRecord | None:
-    try:
-        fields = orjson.loads(value)
-        capacity = fields['capacity'] and Resources(**fields['capacity'])
-        address, domain = fields['address'], fields.get('failure_domain', '')
-        if not _ADDRESS.fullmatch(address) or not isinstance(domain, str):
-            raise ValueError(f'address {address!r}, failure domain {domain!r}')
-        return WorkerRecord(name, address, capacity, domain)
-    except (ValueError, LookupError, TypeError) as error:
-        logger.bind(step='members', peer=name).error(
-            'record of the worker ignored: {!r}', error
-        )
-        return None
-
-
 def _decode_page(content: bytes) -> tuple[list[Record], int, str]:
     page = orjson.loads(content)
     items = page['items']
--- a/src/limpetlanding/platform/tests/rig.py
+++ b/src/limpetlanding/platform/tests/rig.py
@@ -52,6 +52,17 @@
     return run_http_server(app, f'127.0.0.1:{port}', 0)
 
 
+@asynccontextmanager
+async def store_client(store):
+    """Serve a store and yield a client of it."""
+    async with serve(store.app(), STORE_PORT):
+        client = LogStore(f'127.0.0.1:{STORE_PORT}')
+        try:
+            yield client
+        finally:
+            await client.close()
+
+
 @asynccontextmanager
 async def running(work):
     """Run a coroutine within the block."""
--- /dev/null
+++ b/src/limpetlanding/platform/tests/test_odd_records.py
@@ -0,0 +1,114 @@
+"""Records of another writer in the store."""
+
+import asyncio
+
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from limpetlanding.platform.records import (
+    worker_record,
+)
+from limpetlanding.platform.store import WORKERS_TOPIC
+from limpetlanding.platform.tests.odd_entries import (
+    ADDRESSES,
+    NUMBERS,
+    OTHER_TYPES,
+    UNREADABLE,
+    with_field,
+)
+from limpetlanding.platform.tests.rig import (
+    LINK_PORT,
+    System,
+    store_client,
+)
+from limpetlanding.runs import Resources
+from limpetlanding.runs.ports import WorkerRecord
+from limpetlanding.standin.platform_store import StandinStore
+
+JOB = '5c0e7a21d94b36f8'
+RECORD = orjson.dumps(
+    {
+        'address': '10.0.0.1:7100',
+        'capacity': {'cpu': 4000, 'memory_mb': 64, 'gpu': 0},
+        'failure_domain': 'z1',
+    }
+)
+ODD_RECORDS = (
+    *UNREADABLE,
+    b'{}',
+    *(with_field(RECORD, 'address', orjson.dumps(x)) for x in ADDRESSES),
+    *(
+        with_field(RECORD, name, value)
+        for name in ('address', 'failure_domain')
+        for value in (*NUMBERS, *OTHER_TYPES)
+        if value != b'"7"'
+    ),
+    *(
+        with_field(RECORD, 'capacity', value)
+        for value in (*NUMBERS, *OTHER_TYPES)
+        if value != b'{}'
+    ),
+    *(
+        with_field(RECORD, 'capacity', b'{"cpu":%s}' % value)
+        for value in (*NUMBERS, *OTHER_TYPES)
+    ),
+)
+
+
+class TestWorkerRecords:
+    """Guards against fronts that stop following the list of workers."""
+
+    def test_readable_record_is_decoded(self):
+        assert worker_record('w', RECORD) == WorkerRecord(
+            'w', '10.0.0.1:7100', Resources(4000, 64), 'z1'
+        )
+
+    @pytest.mark.parametrize('value', ODD_RECORDS)
+    def test_odd_record_names_no_worker(self, value):
+        assert worker_record('w', value) is None
+
+    async def test_odd_records_hide_no_other_worker(self):
+        store = StandinStore()
+        for number, value in enumerate(ODD_RECORDS):
+            store.topics[WORKERS_TOPIC] += [(f'odd{number}', value)]
+        store.topics[WORKERS_TOPIC].append(('good', RECORD))
+        async with store_client(store) as client:
+            async with asyncio.timeout(60):
+                stream = client.workers()
+                first = await anext(stream)
+                for number, value in enumerate(ODD_RECORDS):
+                    store.topics[WORKERS_TOPIC] += [(f'odd{number}', value)]
+                store.put(WORKERS_TOPIC, 'later', orjson.loads(RECORD))
+                second = await anext(stream)
+        assert [x.name for x in first] == ['good']
+        assert [x.name for x in second] == ['later']
+
+    async def test_worker_replaces_its_odd_record_and_serves(self):
+        async with System(worker_count=1).run() as system:
+            name = system.workers[0].node.hello.node
+            for value in ODD_RECORDS[:: len(ODD_RECORDS) // 9]:
+                system.store.topics[WORKERS_TOPIC].append((name, value))
+                await system.kill('w0')
+                await system.start_worker(0, incarnation=value)
+                await system.settle()
+                newest = dict(system.store.topics[WORKERS_TOPIC])[name]
+                assert orjson.loads(newest)['capacity']['cpu'] == 32_000
+            assert (await system.submit(JOB))[0] == 200
+
+    async def test_odd_records_end_no_job_and_later_workers_are_used(self):
+        async with System(worker_count=1).run() as system:
+            for number, value in enumerate(ODD_RECORDS):
+                record = (f'odd{number}', value)
+                system.store.topics[WORKERS_TOPIC].append(record)
+            system.store.put(WORKERS_TOPIC, 'late', {'address': '127.0.0.1:9'})
+            await system.settle()
+            known = system.fronts[0].subset.candidates
+            assert set(known) == {f'127.0.0.1:{LINK_PORT}', '127.0.0.1:9'}
+            assert (await system.submit(JOB))[0] == 200
+
+    @given(at=st.integers(0, len(RECORD) - 1), content=st.binary(max_size=8))
+    @settings(max_examples=300, deadline=None)
+    def test_changed_record_is_read_or_left_out(self, at, content):
+        worker_record('w', RECORD[:at] + content + RECORD[at + 1 :])
--- a/src/limpetlanding/wire/__init__.py
+++ b/src/limpetlanding/wire/__init__.py
@@ -1,5 +1,6 @@
 """Internal protocol: messages, codec and channels between processes."""
 
+from limpetlanding.wire.addresses import is_ipv4_address
 from limpetlanding.wire.channel import Channel, RemoteError
 from limpetlanding.wire.codec import MAX_FRAME_BYTES
 from limpetlanding.wire.counters import Counters, Traffic
@@ -93,4 +94,5 @@
     'TaskSpec',
     'Timing',
     'Traffic',
+    'is_ipv4_address',
 )
--- a/src/limpetlanding/wire/node.py
+++ b/src/limpetlanding/wire/node.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from limpetlanding.errors import PeerLost, ProtocolError, RequestTimeout
+from limpetlanding.wire.addresses import split_address
 from limpetlanding.wire.channel import Channel, Handler
 from limpetlanding.wire.counters import Counters
 from limpetlanding.wire.dialer import Dialer, DialMode
@@ -389,18 +390,6 @@
         return delay_ms(*domains) / 1000
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of ``host:port``.
-
-    Examples
-    --------
-    >>> split_address('127.0.0.1:7000')
-    ('127.0.0.1', 7000)
-    """
-    host, _, port = address.rpartition(':')
-    return host, int(port)
-
-
 async def _cancel(tasks: Any) -> None:
     tasks = [task for task in tasks if task is not asyncio.current_task()]
     for task in tasks:
