Leave out unreadable items of a page of the store

Seen: one item of a page without a value, with a key that is no text or with a lone surrogate made the page unreadable, so that no worker of it was found and no configuration was read. A store that names the same key again was read without end, with growing memory.

Cause: the page was decoded as a whole, and each page was trusted to lead on. Items are now decoded one by one. Reading ends at a page that names no further key, and the end has to be a number.

Before: test_odd_item_is_left_out, test_key_with_a_lone_surrogate_is_left_out and the cases of odd ends failed; test_pages_that_lead_nowhere_end ran into its time limit.

--- a/src/limpetlanding/platform/decode.py
+++ b/src/limpetlanding/platform/decode.py
@@ -254,6 +254,18 @@
     return value
 
 
+def required_count(fields: dict[str, Any], name: str, step: str) -> int:
+    """Return a whole number from 0 to `MAX_NUMBER`.
+
+    Raises
+    ------
+    Malformed
+        If the field is missing, of another type or out of range.
+    """
+    required_field(fields, name, int, step)
+    return count_field(fields, name, 0, step)
+
+
 def optional_field(
     fields: dict[str, Any], name: str, kind: type, default: Any, step: str
 ) -> Any:
--- a/src/limpetlanding/platform/store.py
+++ b/src/limpetlanding/platform/store.py
@@ -1,8 +1,8 @@
 """Client of the platform's store, a log whose records have topics and keys."""
 
 import asyncio
-import base64
 from collections.abc import AsyncIterator, Iterator
+from contextlib import contextmanager
 from dataclasses import asdict
 
 import aiohttp
@@ -10,7 +10,13 @@
 from loguru import logger
 
 from limpetlanding.platform.decode import Malformed, decode_catalog
-from limpetlanding.platform.records import worker_record
+from limpetlanding.platform.records import (
+    Record,
+    decode_page,
+    decode_records,
+    encode_record,
+    worker_record,
+)
 from limpetlanding.runs.model import Catalog
 from limpetlanding.runs.ports import StoreUnavailable, WorkerRecord
 
@@ -30,13 +36,8 @@
 CALL_TIMEOUT_S = 1
 """The store answers in 4 ms, or in 240 ms while it is slow."""
 
-Record = tuple[str, bytes]
-"""Key and value of a record."""
-
 _OK = 200
 _GONE = 410
-_NUMBER_BYTES = 8
-_LENGTH_BYTES = 4
 
 
 class LogStore:
@@ -78,7 +79,7 @@
             'log-append',
             {'topic': WORKERS_TOPIC, 'part': '0'},
             CALL_TIMEOUT_S,
-            _encode_record(record.name.encode(), value),
+            encode_record(record.name.encode(), value),
         )
 
     async def worker(self, name: str) -> WorkerRecord | None:
@@ -125,14 +126,17 @@
         if status == _GONE:
             # The records have expired; only the newest of each key are kept.
             return [], None
-        return _decode_records(content, start)
+        return decode_records(content, start)
 
     async def _read_newest(self, topic: str) -> tuple[list[Record], int]:
-        newest, end, last_key = await self._read_page(topic, '')
-        while last_key:
+        newest, end, next_key = await self._read_page(topic, '')
+        last_key = ''
+        # A page that names the same key again would be read without end.
+        while next_key not in {'', last_key}:
+            last_key = next_key
             # Records may be appended between the pages. Those are read later,
             # from the end that the first page gave.
-            page, _, last_key = await self._read_page(topic, last_key)
+            page, _, next_key = await self._read_page(topic, last_key)
             newest += page
         return newest, end
 
@@ -145,12 +149,17 @@
         _, content = await self._call(
             'GET', 'log-newest', query, CALL_TIMEOUT_S
         )
+        with self._answers_checked():
+            return decode_page(content)
+
+    @contextmanager
+    def _answers_checked(self) -> Iterator[None]:
         try:
-            return _decode_page(content)
-        except (ValueError, LookupError, TypeError) as error:
+            yield
+        except Malformed as error:
             raise StoreUnavailable(
-                f'unreadable page: {error!r}',
-                step='log-newest',
+                f'unreadable answer: {error.detail}',
+                step=error.step,
                 peer=self.address,
             ) from error
 
@@ -194,47 +203,3 @@
             'configuration ignored: {}', error.detail
         )
         return None
-
-
-def _decode_page(content: bytes) -> tuple[list[Record], int, str]:
-    page = orjson.loads(content)
-    items = page['items']
-    values = [(x['key'], base64.b64decode(x['value'])) for x in items]
-    last_key = items[-1]['key'] if page['hasMore'] else ''
-    return values, page['end'], last_key
-
-
-def _encode_record(key: bytes, value: bytes) -> bytes:
-    """Return a record in the form that the store reads.
-
-    It consists of the record's length, the length of its key, key and value.
-
-    Examples
-    --------
-    >>> list(_encode_record(b'w', b'7'))
-    [0, 0, 0, 3, 1, 119, 55]
-    """
-    content = bytes((len(key),)) + key + value
-    return len(content).to_bytes(_LENGTH_BYTES, 'big') + content
-
-
-def _decode_records(content: bytes, start: int) -> tuple[list[Record], int]:
-    records = list(_split_records(content[2 * _NUMBER_BYTES :]))
-    changes = [_decode_record(record) for record in records if record]
-    # A record without a value deletes its key.
-    kept = [(key, value) for key, value in changes if value]
-    return kept, start + len(records)
-
-
-def _decode_record(record: bytes) -> Record:
-    size = 1 + record[0]
-    return record[1:size].decode(errors='replace'), record[size:]
-
-
-def _split_records(content: bytes) -> Iterator[bytes]:
-    position = 0
-    while position + _LENGTH_BYTES <= len(content):
-        begin = position + _LENGTH_BYTES
-        size = int.from_bytes(content[position:begin], 'big')
-        position = begin + size
-        yield content[begin:position]
--- a/src/limpetlanding/platform/tests/test_odd_records.py
+++ b/src/limpetlanding/platform/tests/test_odd_records.py
@@ -1,16 +1,19 @@
 """Records of another writer in the store."""
 
 import asyncio
+import base64
 
 import orjson
 import pytest
+from aiohttp import web
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from limpetlanding.platform.records import (
+    decode_page,
     worker_record,
 )
-from limpetlanding.platform.store import WORKERS_TOPIC
+from limpetlanding.platform.store import WORKERS_TOPIC, LogStore
 from limpetlanding.platform.tests.odd_entries import (
     ADDRESSES,
     NUMBERS,
@@ -20,11 +23,13 @@
 )
 from limpetlanding.platform.tests.rig import (
     LINK_PORT,
+    STORE_PORT,
     System,
+    serve,
     store_client,
 )
 from limpetlanding.runs import Resources
-from limpetlanding.runs.ports import WorkerRecord
+from limpetlanding.runs.ports import StoreUnavailable, WorkerRecord
 from limpetlanding.standin.platform_store import StandinStore
 
 JOB = '5c0e7a21d94b36f8'
@@ -55,6 +60,13 @@
         for value in (*NUMBERS, *OTHER_TYPES)
     ),
 )
+ITEM = {'key': 'w', 'value': base64.b64encode(RECORD).decode(), 'offset': 0}
+
+
+def page(**changes):
+    """Return the body of a page with one readable record."""
+    fields = {'items': [ITEM], 'hasMore': False, 'end': 1} | changes
+    return orjson.dumps(fields)
 
 
 class TestWorkerRecords:
@@ -112,3 +124,66 @@
     @settings(max_examples=300, deadline=None)
     def test_changed_record_is_read_or_left_out(self, at, content):
         worker_record('w', RECORD[:at] + content + RECORD[at + 1 :])
+
+
+class TestPages:
+    """Guards against one odd item that makes a whole page unreadable."""
+
+    @pytest.mark.parametrize(
+        'item',
+        [
+            *(orjson.loads(x) for x in (*UNREADABLE[3:7], b'true', b'{}')),
+            {'key': 'k'},
+            {'key': 7, 'value': ''},
+            {'key': ['k'], 'value': 'Nw=='},
+            {'key': {}, 'value': 'Nw=='},
+            {'key': 'k', 'value': 7},
+            {'key': 'k', 'value': 'N'},
+            {'key': 'k', 'value': '\u0667'},
+        ],
+    )
+    def test_odd_item_is_left_out(self, item):
+        content = page(items=[item, ITEM, item], hasMore=True)
+        assert decode_page(content) == ([('w', RECORD)], 1, 'w')
+
+    def test_key_with_a_lone_surrogate_is_left_out(self):
+        content = page(items=[ITEM, ITEM | {'key': 'ODD'}], hasMore=True)
+        content = content.replace(b'ODD', b'\\udcff')
+        assert decode_page(content) == ([('w', RECORD)], 1, 'w')
+
+    @pytest.mark.parametrize(
+        'content',
+        [
+            *UNREADABLE,
+            page(items={}),
+            page(items='text'),
+            *(with_field(page(), 'items', x) for x in NUMBERS),
+            *(with_field(page(), 'end', x) for x in NUMBERS + OTHER_TYPES),
+        ],
+    )
+    async def test_unreadable_page_is_reported_as_such(self, content):
+        async def answer(_request):
+            return web.Response(body=content)
+
+        app = web.Application()
+        app.router.add_get('/api/log-newest', answer)
+        async with serve(app, STORE_PORT):
+            client = LogStore(f'127.0.0.1:{STORE_PORT}')
+            with pytest.raises(StoreUnavailable, match='log-newest'):
+                await anext(client.workers())
+            await client.close()
+
+    @pytest.mark.parametrize('items', [[], [7], [ITEM]])
+    async def test_pages_that_lead_nowhere_end(self, items):
+        # Guards against reading the same page without end.
+        async def answer(_request):
+            return web.Response(body=page(items=items, hasMore=True))
+
+        app = web.Application()
+        app.router.add_get('/api/log-newest', answer)
+        async with serve(app, STORE_PORT):
+            client = LogStore(f'127.0.0.1:{STORE_PORT}')
+            async with asyncio.timeout(5):
+                records = await anext(client.workers())
+            await client.close()
+        assert {x.name for x in records} <= {'w'}
