Do not skip records of the store that arrive incomplete

Seen: a record whose end was missing from an answer was cut off, taken as it was and skipped; a configuration or worker in it was lost. An answer without any records that came at once, such as an empty body, was requested again without a pause. A page that named an end beyond the real one made the process wait there for ever.

Cause: the lengths in an answer and the end in its header were not checked. Only complete records count now. An answer without a header, with an incomplete first record or with an end before the offset that was asked for is an error, after which the newest records are read after a pause.

Before: test_truncated_record_is_read_again and all cases of test_unreadable_answer_is_reported_as_such failed.

--- a/src/limpetlanding/platform/records.py
+++ b/src/limpetlanding/platform/records.py
@@ -26,6 +26,7 @@
 _LENGTH_BYTES = 4
 _HEADER_BYTES = 2 * _NUMBER_BYTES
 _PAGE_STEP = 'log-newest'
+_READ_STEP = 'log-read'
 
 
 def worker_record(name: str, value: bytes) -> WorkerRecord | None:
@@ -81,14 +82,29 @@
 def decode_records(content: bytes, start: int) -> tuple[list[Record], int]:
     """Return the records of an answer, and the offset after the last one.
 
+    An incomplete record at the end is left to the next call.
+
     Parameters
     ----------
     content : bytes
         Body of the answer.
     start : int
         Offset of the first record.
+
+    Raises
+    ------
+    Malformed
+        If the answer cannot be read, or if reading on from `start` would lead
+        nowhere: the store ends before it, or its record is incomplete.
     """
+    if len(content) < _HEADER_BYTES:
+        raise Malformed('answer without the end', step=_READ_STEP)
+    end = int.from_bytes(content[:_NUMBER_BYTES], 'big')
+    if end < start:
+        raise Malformed(f'end {end} before offset {start}', step=_READ_STEP)
     records = list(_split_records(content[_HEADER_BYTES:]))
+    if not records and len(content) > _HEADER_BYTES:
+        raise Malformed(f'incomplete record {start}', step=_READ_STEP)
     changes = [_decode_record(record) for record in records if record]
     # A record without a value deletes its key.
     kept = [(key, value) for key, value in changes if value]
@@ -156,4 +172,6 @@
     while position + _LENGTH_BYTES <= len(content):
         begin = position + _LENGTH_BYTES
         position = begin + int.from_bytes(content[position:begin], 'big')
+        if position > len(content):
+            return
         yield content[begin:position]
--- a/src/limpetlanding/platform/store.py
+++ b/src/limpetlanding/platform/store.py
@@ -126,7 +126,8 @@
         if status == _GONE:
             # The records have expired; only the newest of each key are kept.
             return [], None
-        return decode_records(content, start)
+        with self._answers_checked():
+            return decode_records(content, start)
 
     async def _read_newest(self, topic: str) -> tuple[list[Record], int]:
         newest, end, next_key = await self._read_page(topic, '')
--- a/src/limpetlanding/platform/tests/test_odd_records.py
+++ b/src/limpetlanding/platform/tests/test_odd_records.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from contextlib import suppress
 
 import orjson
 import pytest
@@ -9,8 +10,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from limpetlanding.platform.decode import Malformed
 from limpetlanding.platform.records import (
     decode_page,
+    decode_records,
     worker_record,
 )
 from limpetlanding.platform.store import WORKERS_TOPIC, LogStore
@@ -69,6 +72,12 @@
     return orjson.dumps(fields)
 
 
+def framed(*contents):
+    """Return the body of a read whose end is 100."""
+    records = [len(x).to_bytes(4, 'big') + x for x in contents]
+    return (100).to_bytes(8, 'big') + bytes(8) + b''.join(records)
+
+
 class TestWorkerRecords:
     """Guards against fronts that stop following the list of workers."""
 
@@ -187,3 +196,57 @@
                 records = await anext(client.workers())
             await client.close()
         assert {x.name for x in records} <= {'w'}
+
+
+class TestChanges:
+    """Guards against records that are lost or read without end."""
+
+    def test_odd_records_are_passed_over(self):
+        odd = (b'', b'\x00', b'\xff', b'\x05ab', b'\x01\xff7', b'\x00value')
+        content = framed(*odd, b'\x01wvalue')
+        changes, end = decode_records(content, 7)
+        assert changes[-1] == ('w', b'value')
+        assert end == 7 + len(odd) + 1
+
+    def test_truncated_record_is_read_again(self):
+        # Guards against a record that is lost because its end was missing.
+        content = framed(b'\x01wvalue', b'\x01xvalue')
+        for cut in range(1, 11):
+            assert decode_records(content[:-cut], 7) == ([('w', b'value')], 8)
+
+    @pytest.mark.parametrize(
+        'content',
+        [
+            b'',
+            b'{}',
+            bytes(15),
+            framed(b'\x01wvalue')[:-1],
+            bytes(16) + b'\xff\xff\xff\xff',
+            # The store has less records than were read.
+            (6).to_bytes(8, 'big') + bytes(8),
+        ],
+    )
+    async def test_unreadable_answer_is_reported_as_such(self, content):
+        # Guards against calls without a pause, and a wait at a wrong offset.
+        async def answer(_request):
+            return web.Response(body=content)
+
+        async def newest(_request):
+            return web.Response(body=page(end=7))
+
+        app = web.Application()
+        app.router.add_get('/api/log-read', answer)
+        app.router.add_get('/api/log-newest', newest)
+        async with serve(app, STORE_PORT):
+            client = LogStore(f'127.0.0.1:{STORE_PORT}')
+            stream = client.workers()
+            await anext(stream)
+            with pytest.raises(StoreUnavailable, match='log-read'):
+                await anext(stream)
+            await client.close()
+
+    @given(content=st.binary(max_size=200))
+    @settings(max_examples=200, deadline=None)
+    def test_any_bytes_are_read_or_refused(self, content):
+        with suppress(Malformed):
+            decode_records(bytes(16) + content, 0)
