Ignore configurations with numbers out of range

Seen: a configuration with version 2^63 or 2^64 - 1 was taken into force and passed on to all processes, where no later version could replace it any more. Negative and huge priorities, attempts, stretches and latencies were accepted.

Cause: the type of a number was checked, but not its range. Versions and other counts are now whole numbers from 0 to 2^53, which JSON and msgpack represent exactly. An odd configuration is logged and ignored, and a later one is used.

Before: the cases of the versions 2^63, 2^64 - 1, -1 and -2^63 in test_odd_configuration_is_ignored_and_a_later_one_used failed, and most cases of test_number_out_of_range_is_named.

--- a/src/limpetlanding/platform/decode.py
+++ b/src/limpetlanding/platform/decode.py
@@ -105,11 +105,11 @@
     routes = optional_field(fields, 'routes', list, [], 'configure')
     services = optional_field(fields, 'services', list, [], 'configure')
     return Catalog(
-        version=optional_field(fields, 'version', int, 0, 'configure'),
+        version=count_field(fields, 'version', 0, 'configure'),
         queues=[_decode_queue(route) for route in routes],
         pools=[_decode_pool(x) for x in services],
-        max_body_bytes=optional_field(
-            limits, 'maxBodyBytes', int, 262_144, 'configure'
+        max_body_bytes=count_field(
+            limits, 'maxBodyBytes', 262_144, 'configure'
         ),
     )
 
@@ -201,8 +201,8 @@
         host=required_field(fields, 'host', str, 'configure').lower(),
         prefix=required_field(fields, 'pathPrefix', str, 'configure'),
         pool=required_field(fields, 'service', str, 'configure'),
-        priority=optional_field(fields, 'priority', int, 0, 'configure'),
-        max_attempts=optional_field(fields, 'maxAttempts', int, 1, 'configure'),
+        priority=count_field(fields, 'priority', 0, 'configure'),
+        max_attempts=count_field(fields, 'maxAttempts', 1, 'configure'),
         stretch=float(optional_number(fields, 'stretch', 'configure') or 1),
         target_ms=float(
             optional_number(fields, 'targetLatencyMs', 'configure')
@@ -225,16 +225,18 @@
 
 
 def optional_number(fields: dict[str, Any], name: str, step: str) -> float:
-    """Return a number; 0 if the field is missing.
+    """Return a number from 0 to `MAX_NUMBER`; 0 if the field is missing.
 
     Raises
     ------
     Malformed
-        If the field is of another type.
+        If the field is of another type or out of range.
     """
     value = fields.get(name) or 0
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise Malformed(f'{name}: expected a number', step=step)
+    if not 0 <= value <= MAX_NUMBER:
+        raise Malformed(f'{name}: {value} is out of range', step=step)
     return value
 
 
