Read the lists of runs of an executor row by row

Seen: an active run whose task was no text, an end whose number was a string among numbers, or a clock of 2^64 - 1 ended the task that calls the executor with a TypeError. The worker never called it again, and its runs were not ended. An end of an unknown kind made all lists unreadable as long as it was listed, which is for ever, since it was not acknowledged.

Cause: only the form of a row was checked, not its types. Numbers are now whole numbers from 0 to 2^53. Unreadable active runs are left out, a percentage that is no number counts as no progress, and an end that cannot be read is acknowledged as lapsed. Lists with an end that has no number are refused as before: each answer would list it at once, so that calls would follow without a pause.

--- a/src/limpetlanding/platform/decode.py
+++ b/src/limpetlanding/platform/decode.py
@@ -1,8 +1,11 @@
 """Decodes the platform's bodies into the types of `limpetlanding.runs`."""
 
+from collections.abc import Iterator
+from contextlib import suppress
 from typing import Any
 
 import orjson
+from loguru import logger
 
 from limpetlanding.errors import LimpetlandingError
 from limpetlanding.runs.model import (
@@ -143,31 +146,81 @@
 def decode_inventory(body: bytes) -> Inventory:
     """Return the runs that an executor lists.
 
+    Active runs that cannot be read are left out. None of them was ordered,
+    since its task and number would be readable.
+
     Raises
     ------
     Malformed
         If the lists cannot be read, or another field is missing or wrong.
     """
     fields = load_object(body, 'look')
-    try:
-        active = [
-            ActiveRun(row[0], row[1], float(row[3]))
-            for row in fields['running']
-        ]
-        ended = [
-            EndedRun(row[0], row[1], row[2], _RUN_ENDS[row[3]])
-            for row in fields['endedRuns']
-        ]
-    except (LookupError, TypeError, ValueError) as error:
-        raise Malformed(f'lists of runs: {error!r}', step='look') from error
+    running = required_field(fields, 'running', list, 'look')
+    ends = required_field(fields, 'endedRuns', list, 'look')
+    active = [run for row in running for run in _decode_active(row)]
+    if len(active) < len(running):
+        logger.bind(step='look').error(
+            '{} unreadable active runs ignored', len(running) - len(active)
+        )
     return Inventory(
-        clock_ms=required_field(fields, 'clockMs', int, 'look'),
-        start_time_ms=optional_field(fields, 'born', int, 0, 'look'),
+        clock_ms=required_count(fields, 'clockMs', 'look'),
+        start_time_ms=count_field(fields, 'born', 0, 'look'),
         active=active,
-        ended=sorted(ended, key=lambda end: end.number),
+        ended=sorted(map(_decode_ended, ends), key=lambda end: end.number),
     )
 
 
+def _decode_active(row: Any) -> Iterator[ActiveRun]:
+    """Yield the active run of a row, or nothing if it cannot be read.
+
+    Without a readable percentage the run counts as one without progress.
+    """
+    with suppress(TypeError, LookupError):
+        task, run, percent = row[0], row[1], row[3]
+        if _is_run(task, run):
+            is_number = percent.__class__ in {int, float}
+            yield ActiveRun(
+                task,
+                run,
+                float(min(max(percent, 0), 100)) if is_number else 0,
+            )
+
+
+def _decode_ended(row: Any) -> EndedRun:
+    """Return the ended run of a row.
+
+    An end whose other parts cannot be read is acknowledged like all others, so
+    that the executor does not list it again. One without a number could not be
+    acknowledged, and would be listed in each answer.
+
+    Raises
+    ------
+    Malformed
+        If the number cannot be read.
+    """
+    try:
+        number, task, run, how = row[:4]
+    except (TypeError, LookupError, ValueError) as error:
+        raise Malformed(f'ended runs: {error}', step='look') from error
+    if not is_count(number):
+        raise Malformed('ended runs: a number is wrong', step='look')
+    if not _is_run(task, run):
+        task, run = '', 0
+    known = _RUN_ENDS.get(how) if isinstance(how, str) else None
+    if known is None or not task:
+        logger.bind(step='look', number=number).error('unreadable end of a run')
+    return EndedRun(number, task, run, known or RunEnd.LAPSED)
+
+
+def _is_run(task: Any, run: Any) -> bool:
+    return isinstance(task, str) and is_count(run)
+
+
+def is_count(value: Any) -> bool:
+    """Tell whether a value is a whole number from 0 to `MAX_NUMBER`."""
+    return value.__class__ is int and 0 <= value <= MAX_NUMBER
+
+
 def _decode_step(index: int, fields: Any) -> Step:
     if not isinstance(fields, dict):
         raise Malformed(f'step {index} is not an object', step='submit')
