Check the clock and the reason in the answer to a start

Seen: an answer whose clock was no number ended the task of the start with a TypeError. If the run had been refused, its resources stayed reserved for ever, and its job was answered 504. A clock of 2^64 - 1 was believed; the next lease could not be encoded and the worker stopped calling its executor. A reason nested 1,000 deep raised RecursionError.

Cause: both fields were used without a check. An odd clock now counts as missing and an odd reason as an invalid start, as other unknown reasons do.

--- a/src/limpetlanding/platform/executor.py
+++ b/src/limpetlanding/platform/executor.py
@@ -8,6 +8,7 @@
 from limpetlanding.platform.decode import (
     Malformed,
     decode_inventory,
+    is_count,
     load_object,
 )
 from limpetlanding.runs.ports import (
@@ -70,10 +71,14 @@
             return StartReply(None, 'unhealthy')
         fields = _load(content, self.address) if content else {}
         clock_ms = fields.get('clockMs')
+        if not is_count(clock_ms):
+            clock_ms = None
         if status == _OK:
             return StartReply(clock_ms)
-        reason = _REFUSAL_REASONS.get(str(fields.get('reason')), 'invalid')
-        return StartReply(clock_ms, reason)
+        reason = fields.get('reason')
+        # An odd reason may be of any type.
+        known = reason if isinstance(reason, str) else ''
+        return StartReply(clock_ms, _REFUSAL_REASONS.get(known, 'invalid'))
 
     async def stop(self, to: CallTarget, task: str, run: int) -> None:
         """Stop a run; see `ExecutorPort`."""
--- a/src/limpetlanding/platform/tests/test_odd_answers.py
+++ b/src/limpetlanding/platform/tests/test_odd_answers.py
@@ -2,6 +2,7 @@
 
 import orjson
 import pytest
+from aiohttp import web
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -12,7 +13,7 @@
     UNREADABLE,
     with_field,
 )
-from limpetlanding.platform.tests.rig import System
+from limpetlanding.platform.tests.rig import System, body
 from limpetlanding.runs import RunEnd
 from limpetlanding.runs.ports import ActiveRun, EndedRun
 from limpetlanding.standin.platform_executor import StandinExecutor
@@ -175,3 +176,34 @@
             await system.settle(6)
             assert len(left) < 6
             assert (await system.submit(f'{7:016x}'))[0] == 200
+
+    @pytest.mark.parametrize(
+        'content',
+        [
+            *UNREADABLE,
+            b'{}',
+            *(b'{"clockMs":%s}' % x for x in (*NUMBERS, *OTHER_TYPES)),
+            *(b'{"reason":%s}' % x for x in (b'7', b'null', *OTHER_TYPES)),
+        ],
+    )
+    @pytest.mark.parametrize('status', [200, 400, 409])
+    async def test_jobs_complete_after_an_odd_answer_to_a_start(
+        self, monkeypatch, content, status
+    ):
+        start = StandinExecutor._start
+        answers = [web.Response(status=status, body=content)]
+
+        async def odd(executor, fields):
+            if not answers:
+                return await start(executor, fields)
+            if status == 200:
+                await start(executor, fields)
+            return answers.pop()
+
+        monkeypatch.setattr(StandinExecutor, '_start', odd)
+        async with System(worker_count=1).run() as system:
+            assert (await system.submit(JOB, body(1)))[0] == 200
+            assert not answers
+            await system.settle()
+            assert not system.workers[0].supervisor.runs
+            assert (await system.submit(f'{7:016x}'))[0] == 200
