Refuse heartbeats with odd ids, labels and numbers

Seen: after a heartbeat whose id holds a line break or other characters that no header can carry, each call of the executor failed with a ValueError that ended the task of the calls; a worker that had just started was of no use from then on. Capacities below 0 or up to 2^64 - 1, negative and huge start times and numbers were accepted. A label nested 1,000 deep was answered with 500 and a traceback.

Cause: the id was not checked, labels were converted to text whatever they were, and numbers had no range. All of these are now refused with 400 and an error that names the field. The id in the answers of an executor is checked in the same way.

Before: all cases of test_first_heartbeat_with_an_odd_id, both of test_odd_heartbeats_change_nothing and 35 cases of TestDecoding failed.

--- a/src/limpetlanding/platform/decode.py
+++ b/src/limpetlanding/platform/decode.py
@@ -1,5 +1,6 @@
 """Decodes the platform's bodies into the types of `limpetlanding.runs`."""
 
+import re
 from collections.abc import Iterator
 from contextlib import suppress
 from typing import Any
@@ -34,6 +35,7 @@
     'broken': RunEnd.LAPSED,
     'alone': RunEnd.LAPSED,
 }
+_EXECUTOR_ID = re.compile('[!-~]{1,255}')
 _EXECUTOR_STATES = frozenset(('ready', 'draining'))
 # Fields that request features for which the progress of a step must be recorded
 # in the store, which is not implemented yet.
@@ -123,26 +125,39 @@
     Raises
     ------
     Malformed
-        If a field is missing, of another type, or names an unknown state.
+        If the id is not usable, or a field is missing, of another type, out of
+        range, or names an unknown state.
     """
+    if not is_executor_id(executor_id):
+        raise Malformed(f'id {executor_id[:50]!r}', step='announce')
     fields = load_object(body, 'announce')
     state = required_field(fields, 'state', str, 'announce')
     if state not in _EXECUTOR_STATES:
-        raise Malformed(f'unknown state {state!r}', step='announce')
+        raise Malformed(f'unknown state {state[:50]!r}', step='announce')
     labels = optional_field(fields, 'labels', list, [], 'announce')
+    if not all(isinstance(label, str) for label in labels):
+        raise Malformed('labels: expected texts', step='announce')
     room = required_field(fields, 'capacity', dict, 'announce')
     required_field(fields, 'address', str, 'announce')
     return Executor(
         executor_id=executor_id,
-        start_time_ms=optional_field(fields, 'born', int, 0, 'announce'),
+        start_time_ms=count_field(fields, 'born', 0, 'announce'),
         pool=required_field(fields, 'service', str, 'announce'),
         capacity=_decode_room(room, 'announce'),
-        labels=tuple(str(label) for label in labels),
+        labels=tuple(labels),
         draining=state == 'draining',
-        sequence=required_field(fields, 'seq', int, 'announce'),
+        sequence=required_count(fields, 'seq', 'announce'),
     )
 
 
+def is_executor_id(text: str) -> bool:
+    """Tell whether a text can be the id of an executor.
+
+    Calls carry the id in a header, which holds no other characters.
+    """
+    return _EXECUTOR_ID.fullmatch(text) is not None
+
+
 def decode_inventory(body: bytes) -> Inventory:
     """Return the runs that an executor lists.
 
@@ -271,9 +286,9 @@
 
 def _decode_room(fields: dict[str, Any], step: str) -> Resources:
     return Resources(
-        cpu=optional_field(fields, 'cpu', int, 0, step),
-        memory_mb=optional_field(fields, 'memMb', int, 0, step),
-        gpu=optional_field(fields, 'gpu', int, 0, step),
+        cpu=count_field(fields, 'cpu', 0, step),
+        memory_mb=count_field(fields, 'memMb', 0, step),
+        gpu=count_field(fields, 'gpu', 0, step),
     )
 
 
--- a/src/limpetlanding/platform/executor.py
+++ b/src/limpetlanding/platform/executor.py
@@ -9,6 +9,7 @@
     Malformed,
     decode_inventory,
     is_count,
+    is_executor_id,
     load_object,
 )
 from limpetlanding.runs.ports import (
@@ -120,14 +121,14 @@
                 f'http://{self.address}/health'
             ) as response:
                 await response.read()
-                executor_id = response.headers.get(_EXECUTOR_ID_HEADER)
+                executor_id = response.headers.get(_EXECUTOR_ID_HEADER, '')
         except (aiohttp.ClientError, OSError) as error:
             raise ExecutorUnavailable(
                 repr(error), step='identify', peer=self.address
             ) from error
-        if not executor_id:
+        if not is_executor_id(executor_id):
             raise ExecutorUnavailable(
-                f'status {response.status} without id',
+                f'status {response.status} without a usable id',
                 step='identify',
                 peer=self.address,
             )
--- /dev/null
+++ b/src/limpetlanding/platform/tests/test_odd_heartbeats.py
@@ -0,0 +1,176 @@
+"""Heartbeats of another writer at a worker, and its odd executor ids."""
+
+import asyncio
+from urllib.parse import quote
+
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from limpetlanding.platform.decode import (
+    MAX_NUMBER,
+    Malformed,
+    decode_executor,
+)
+from limpetlanding.platform.tests.odd_entries import (
+    NUMBERS,
+    OTHER_TYPES,
+    UNREADABLE,
+    with_field,
+)
+from limpetlanding.platform.tests.rig import CONTROL_PORT, System
+from limpetlanding.standin.platform_executor import StandinExecutor
+
+JOB = '5c0e7a21d94b36f8'
+OTHER_ID = 'i-other'
+IDS = (
+    'a\r\nb',
+    'a\nX-Fence: 9',
+    '\x00',
+    ' ',
+    'i-\x7f',
+    'i-\u00e9',
+    '\U0001f600',
+)
+
+
+def heartbeat(**changes):
+    """Return the body of a readable heartbeat, with changed fields."""
+    fields = {
+        'service': 'desk',
+        'address': '10.0.0.9:80',
+        'state': 'ready',
+        'capacity': {'cpu': 4000, 'memMb': 64, 'gpu': 0},
+        'labels': ['a'],
+        'seq': 4,
+        'born': 2000,
+    }
+    return orjson.dumps(fields | changes)
+
+
+def without(name):
+    """Return the body of a heartbeat without one field."""
+    fields = orjson.loads(heartbeat())
+    fields.pop(name)
+    return orjson.dumps(fields)
+
+
+ODD_HEARTBEATS = (
+    *UNREADABLE,
+    *map(without, ('service', 'address', 'state', 'capacity', 'seq')),
+    *(
+        with_field(heartbeat(), name, value)
+        for name in ('seq', 'born')
+        for value in (*NUMBERS, *OTHER_TYPES)
+    ),
+    *(
+        with_field(heartbeat(), 'capacity', b'{"%s":%s}' % (name, value))
+        for name in (b'cpu', b'memMb', b'gpu')
+        for value in (*NUMBERS, *OTHER_TYPES)
+    ),
+    *(
+        with_field(heartbeat(), name, value)
+        for name in ('service', 'state', 'address', 'capacity', 'labels')
+        for value in (*NUMBERS, *OTHER_TYPES[3:])
+    ),
+    heartbeat(state='gone'),
+    heartbeat(labels=[7]),
+    heartbeat(labels=[None]),
+    heartbeat(labels=[['a']]),
+    with_field(heartbeat(), 'labels', b'[' + OTHER_TYPES[4] + b']'),
+)
+
+
+async def send(system, executor_id, content, number=0):
+    """Send a heartbeat to a worker and return the status of the answer."""
+    path = f'/api/instances/{quote(executor_id, safe="")}'
+    async with system.session.put(
+        f'http://127.0.0.1:{CONTROL_PORT + number}{path}', data=content
+    ) as response:
+        return response.status
+
+
+class TestDecoding:
+    """Guards against heartbeats that are used although they are odd."""
+
+    def test_readable_heartbeat_is_decoded(self):
+        assert decode_executor('i-0', heartbeat()).capacity.cpu == 4000
+
+    @pytest.mark.parametrize('content', ODD_HEARTBEATS)
+    def test_odd_heartbeat_is_refused(self, content):
+        with pytest.raises(Malformed):
+            decode_executor('i-0', content)
+
+    @pytest.mark.parametrize('executor_id', ['', *IDS, 'x' * 300])
+    def test_odd_id_is_refused(self, executor_id):
+        with pytest.raises(Malformed):
+            decode_executor(executor_id, heartbeat())
+
+    @given(
+        at=st.integers(0, len(heartbeat()) - 1), content=st.binary(max_size=6)
+    )
+    @settings(max_examples=300, deadline=None)
+    def test_changed_heartbeat_is_read_or_refused(self, at, content):
+        changed = heartbeat()[:at] + content + heartbeat()[at + 1 :]
+        try:
+            executor = decode_executor('i-0', changed)
+        except Malformed:
+            return
+        assert 0 <= executor.capacity.cpu <= MAX_NUMBER
+
+
+class TestWorker:
+    """Guards against odd heartbeats that take a worker out of service."""
+
+    @pytest.mark.parametrize('executor_id', ['i-0', OTHER_ID])
+    async def test_odd_heartbeats_change_nothing(self, executor_id):
+        async with System(worker_count=1).run() as system:
+            supervisor = system.workers[0].supervisor
+            job = asyncio.create_task(system.submit(JOB))
+            await asyncio.sleep(0.05)
+            before = supervisor.executor
+            for content in ODD_HEARTBEATS:
+                assert await send(system, executor_id, content) == 400
+            assert supervisor.executor is before
+            assert (await job)[0] == 200
+            assert len(system.history()) == 2
+            await system.settle()
+            assert (await system.submit(f'{7:016x}'))[0] == 200
+
+    @pytest.mark.parametrize('executor_id', IDS)
+    async def test_first_heartbeat_with_an_odd_id(self, executor_id):
+        # Guards against calls that fail because a header cannot hold the id.
+        async with System(worker_count=1).run() as system:
+            await system.kill('w0')
+            await system.start_worker(0, incarnation=2)
+            assert await send(system, executor_id, heartbeat()) == 400
+            await system.settle()
+            assert (await system.submit(JOB))[0] == 200
+
+    async def test_largest_capacity_is_reported(self):
+        async with System(worker_count=1).run() as system:
+            system.executors[0].cpu = MAX_NUMBER
+            await system.settle()
+            assert (await system.submit(JOB))[0] == 200
+            views = system.fronts[0].fleet.views.values()
+            assert [x.capacity.cpu for x in views] == [MAX_NUMBER]
+
+    @pytest.mark.parametrize('executor_id', IDS)
+    async def test_executor_that_answers_with_an_odd_id(
+        self, monkeypatch, executor_id
+    ):
+        health = StandinExecutor._health
+
+        async def odd(executor, request):
+            response = await health(executor, request)
+            if '\n' not in executor_id and '\x00' not in executor_id:
+                response.headers['X-Instance-Id'] = executor_id
+            return response
+
+        monkeypatch.setattr(StandinExecutor, '_health', odd)
+        async with System(worker_count=1).run() as system:
+            await system.kill('w0')
+            await system.start_worker(0, incarnation=2)
+            await system.settle()
+            assert (await system.submit(JOB))[0] == 200
