Ignore odd addresses of workers, and keep dialers alive

Seen: a front took any text that another front or a worker named as the address of a worker, and passed it on. For an address without a usable port or with a host that cannot be encoded, the task of the dialer ended with a ValueError or OverflowError. It was started again every 3 s, and the address took a place in the subset meanwhile.

Cause: only the records of the store were checked. Front._add_worker, which all three sources pass, now ignores what is not an IPv4 address with a port from 1 to 65535. A dialer that a peer's own address has led to such an error treats it as a failed attempt.

--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -25,7 +25,7 @@
 from limpetlanding.runs.model import Catalog, Job, Queue
 from limpetlanding.runs.ports import StorePort, WorkerRecord
 from limpetlanding.runs.subset import Candidate, WorkerSubset
-from limpetlanding.wire import Channel, Node
+from limpetlanding.wire import Channel, Node, is_ipv4_address
 from limpetlanding.wire.run_messages import (
     CatalogUpdate,
     ExecutorLost,
@@ -225,7 +225,13 @@
             self._add_worker(record.address, record.failure_domain)
 
     def _add_worker(self, address: str, failure_domain: str) -> bool:
-        is_new = bool(address) and self.subset.add(address, failure_domain)
+        if not is_ipv4_address(address):
+            if address:
+                logger.bind(step='members').error(
+                    'address of a worker ignored: {!r}', address[:50]
+                )
+            return False
+        is_new = self.subset.add(address, failure_domain)
         if is_new:
             self.subset_outdated.set()
         return is_new
--- a/src/limpetlanding/wire/node.py
+++ b/src/limpetlanding/wire/node.py
@@ -323,11 +323,15 @@
         await self._establish_link(reader, writer, '')
 
     async def _open_connection(self, address: str) -> Channel | None:
-        host, port = split_address(address)
-        async with asyncio.timeout(self.options.timing.hello_s):
-            streams = await self.connect(
-                host, port, **_tls(self.options.client_tls)
-            )
+        try:
+            host, port = split_address(address)
+            async with asyncio.timeout(self.options.timing.hello_s):
+                streams = await self.connect(
+                    host, port, **_tls(self.options.client_tls)
+                )
+        except (ValueError, OverflowError) as error:
+            # A peer may have named an address that no connection can have.
+            raise OSError(f'unusable address {address[:50]!r}') from error
         return await self._establish_link(*streams, address)
 
     async def _establish_link(
--- a/src/limpetlanding/wire/tests/test_node.py
+++ b/src/limpetlanding/wire/tests/test_node.py
@@ -889,3 +889,44 @@
             replies = await asyncio.gather(*asked)
             assert {len(reply.detail) for reply in replies} == {3_000_000}
             assert not second.counters.events
+
+
+class TestUnusableAddresses:
+    """Guards against dialers that end because of the address alone."""
+
+    @pytest.mark.parametrize(
+        'address', ['', 'b', 'b:', 'b:x', 'b:' + '7' * 5000, 'b:\ud800']
+    )
+    async def test_address_without_a_port_is_dialed_until_stopped(
+        self, address
+    ):
+        async with run_cluster() as nodes:
+            first = await nodes.node(A)
+            first.keep_dialing(address)
+            await asyncio.sleep(3)
+            assert address in first.dialers
+            assert first.counters.events['dials_failed'] > 2
+
+    @pytest.mark.parametrize(
+        'error',
+        [
+            OverflowError('port must be 0-65535'),
+            UnicodeError('label too long'),
+            ValueError('embedded null character'),
+        ],
+    )
+    async def test_error_of_the_address_does_not_end_the_dialer(self, error):
+        async with run_cluster() as nodes:
+            first = await nodes.node(A)
+            connect = first.connect
+
+            async def fail(*_, **__):
+                raise error
+
+            first.connect = fail
+            first.keep_dialing(B)
+            await asyncio.sleep(1)
+            first.connect = connect
+            await nodes.node(B)
+            await asyncio.sleep(1)
+            assert [x.peer.address for x in first.connected()] == [B]
