Refuse jobs with numbers out of range

Seen on: a task that asks for -90,000 thousandths of a core made room for others at its worker: 84,000 of 32,000 were in use. An estimate of 1.7e308 ms was answered with 500 and left a job in the front for ever, because the log line of its acceptance could not round infinity; a front that stops waits for such a job. A deadline of 400 digits and a dependsOn nested 1,000 deep were answered with 500.

Cause: numbers of a job had no range, and the error printed a foreign value.

--- a/src/limpetlanding/platform/decode.py
+++ b/src/limpetlanding/platform/decode.py
@@ -246,8 +246,8 @@
     if not 1 <= count <= MAX_TASKS_PER_STEP:
         raise Malformed(f'step {index}: count {count}', step='submit')
     after = tuple(optional_field(fields, 'dependsOn', list, [], 'submit'))
-    if not all(isinstance(x, int) and 0 <= x < index for x in after):
-        raise Malformed(f'step {index}: dependsOn {after}', step='submit')
+    if not all(is_count(x) and x < index for x in after):
+        raise Malformed(f'step {index}: dependsOn is wrong', step='submit')
     return Step(
         count=count,
         need=_decode_room(fields, 'submit'),
@@ -255,9 +255,7 @@
         after=after,
         label=optional_field(fields, 'requirements', str, '', 'submit'),
         data_rack=optional_field(fields, 'affinity', str, '', 'submit'),
-        max_tasks_per_worker=optional_field(
-            fields, 'antiAffinity', int, 0, 'submit'
-        ),
+        max_tasks_per_worker=count_field(fields, 'antiAffinity', 0, 'submit'),
     )
 
 
--- a/src/limpetlanding/platform/ingress.py
+++ b/src/limpetlanding/platform/ingress.py
@@ -6,7 +6,12 @@
 from aiohttp import web
 from loguru import logger
 
-from limpetlanding.platform.decode import Malformed, Unsupported, decode_job
+from limpetlanding.platform.decode import (
+    MAX_NUMBER,
+    Malformed,
+    Unsupported,
+    decode_job,
+)
 from limpetlanding.runs import Front, JobAbandoned, JobNotStarted, Queue
 
 DEFAULT_WAIT_S = 30
@@ -110,7 +115,9 @@
     if value is None:
         return DEFAULT_WAIT_S
     try:
-        return max(int(value) / 1000 - ANSWER_MARGIN_S, 0)
+        # A very large number cannot be converted to seconds.
+        wait_ms = min(int(value), MAX_NUMBER)
+        return max(wait_ms / 1000 - ANSWER_MARGIN_S, 0)
     except ValueError as error:
         raise Malformed(
             f'{_DEADLINE_HEADER}: {value!r}', step='submit'
