Leave out unusable seeds, and check the port range

Seen: a seed nested 1,000 deep in a new settings file raised RecursionError, which ended the task that follows the settings: the process applied no later file. Seeds of other types, without a port or with a host name were dialed as ":7720" and the like. A port range from true, -1, 0 or 65536 on was taken.

Cause: seeds were converted to text whatever they were, and the port was checked by isinstance only. Seeds that are no IPv4 address with a port are now left out with a line in the log; a wrong port range is an error that names the field.

--- a/src/limpetlanding/platform/settings.py
+++ b/src/limpetlanding/platform/settings.py
@@ -10,15 +10,19 @@
 from pathlib import Path
 from typing import Any
 
+from loguru import logger
+
 from limpetlanding.errors import LimpetlandingError
 from limpetlanding.platform.decode import (
     Malformed,
+    is_count,
     load_object,
     optional_field,
     optional_number,
     required_field,
 )
 from limpetlanding.runs.supervisor import DEFAULT_STOP_DURATION_S
+from limpetlanding.wire import MAX_PORT, is_ipv4_address
 
 SETTINGS_VARIABLE = 'LIMPETLANDING_CONFIG'
 
@@ -118,14 +122,9 @@
     store = optional_field(fields, 'platform', dict, {}, _STEP)
     bounds = optional_field(fields, 'bounds', dict, {}, _STEP)
     ports = required_field(fields, 'portRange', list, _STEP)
-    if not ports or not isinstance(ports[0], int):
+    if not ports or not is_count(ports[0]) or not 0 < ports[0] <= MAX_PORT:
         raise Malformed('portRange: expected two ports', step=_STEP)
-    # The ports of the listed seeds are not their link ports. The port range is
-    # the same on all machines, and its first port is used for links.
-    hosts = [
-        str(seed).rpartition(':')[0]
-        for seed in optional_field(fields, 'seeds', list, [], _STEP)
-    ]
+    seeds = optional_field(fields, 'seeds', list, [], _STEP)
     own_host = required_field(fields, 'ip', str, _STEP)
     return ProcessSettings(
         node=required_field(fields, 'nodeName', str, _STEP),
@@ -140,10 +139,26 @@
         executor_address=optional_field(fields, 'app', str, '', _STEP),
         pool=optional_field(fields, 'service', str, '', _STEP),
         store_address=optional_field(store, 'address', str, '', _STEP),
-        seeds=[f'{host}:{ports[0]}' for host in hosts],
+        seeds=_link_addresses(seeds, ports[0]),
         grace_s=float(
             optional_number(bounds, 'graceS', _STEP) or DEFAULT_GRACE_S
         ),
         stop_s=optional_number(bounds, 'stopGraceMs', _STEP) / 1000
         or DEFAULT_STOP_DURATION_S,
     )
+
+
+def _link_addresses(seeds: list[Any], port: int) -> list[str]:
+    """Return the link addresses of the listed seeds; odd ones are left out.
+
+    The ports of the listed seeds are not their link ports. The port range is
+    the same on all machines, and its first port is used for links.
+    """
+    hosts = [x.rpartition(':')[0] for x in seeds if isinstance(x, str)]
+    addresses = [f'{host}:{port}' for host in hosts]
+    usable = list(filter(is_ipv4_address, addresses))
+    if len(usable) < len(seeds):
+        logger.bind(step='settings').error(
+            '{} unusable seeds ignored', len(seeds) - len(usable)
+        )
+    return usable
--- a/src/limpetlanding/wire/__init__.py
+++ b/src/limpetlanding/wire/__init__.py
@@ -1,6 +1,6 @@
 """Internal protocol: messages, codec and channels between processes."""
 
-from limpetlanding.wire.addresses import is_ipv4_address
+from limpetlanding.wire.addresses import MAX_PORT, is_ipv4_address
 from limpetlanding.wire.channel import Channel, RemoteError
 from limpetlanding.wire.codec import MAX_FRAME_BYTES
 from limpetlanding.wire.counters import Counters, Traffic
@@ -49,6 +49,7 @@
 
 __all__ = (
     'MAX_FRAME_BYTES',
+    'MAX_PORT',
     'MESSAGE_TYPES',
     'PROTOCOL_VERSION',
     'Ack',
