Treat an infinite number in a page of the log as unreadable

Seen: an answer of the log with 1e400 or Infinity as an offset raised OverflowError, which ended the reader of the configuration.

Cause: offsets were converted with int, and only the errors of wrong types were caught. Offsets now have to be whole numbers.

--- a/src/limpetlanding/logservice/client.py
+++ b/src/limpetlanding/logservice/client.py
@@ -186,13 +186,13 @@
         data = await self._call('GET', url, step='read log', wait_ms=wait_ms)
         try:
             records = tuple(
-                LogRecord(int(item['offset']), item['body'])
+                LogRecord(_offset(item['offset']), item['body'])
                 for item in data['records']
             )
             page = Page(
                 records,
-                int(data['next']),
-                int(data['first']),
+                _offset(data['next']),
+                _offset(data['first']),
                 at_end=len(records) < limit,
             )
         except (KeyError, TypeError, ValueError) as error:
@@ -329,6 +329,13 @@
     return b''.join(chunks)
 
 
+def _offset(value: Any) -> int:
+    # `int` raises OverflowError for an infinite number, which JSON may hold.
+    if value.__class__ is not int:
+        raise TypeError(f'expected an offset, got {type(value).__name__}')
+    return value
+
+
 def _is_ordered(page: Page, start: int) -> bool:
     offsets = [start - 1, *(record.offset for record in page.records)]
     is_rising = all(before < after for before, after in pairwise(offsets))
