Refuse deeply nested frames with a protocol error

Seen: a frame whose kind, number or tag is nested 1,015 deep, which msgpack can decode, raised RecursionError while the message of the error was built. In the first frame of a stranger that ended the dialer.

Cause: the foreign value was printed with repr. It is printed with reprlib now, which limits depth and length.

--- a/src/limpetlanding/wire/codec.py
+++ b/src/limpetlanding/wire/codec.py
@@ -11,6 +11,7 @@
 from enum import IntEnum
 from functools import cache
 from operator import attrgetter
+from reprlib import repr as short_repr
 from types import NoneType, UnionType
 from typing import Any, Union, get_args, get_origin, get_type_hints
 
@@ -143,11 +144,11 @@
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise _malformed(f'body is not a frame: {error}') from error
     if not _is_exactly(kind, int) or not 0 <= kind <= FrameKind.REPLY:
-        raise _malformed(f'unknown frame kind {kind!r}')
+        raise _malformed(f'unknown frame kind {short_repr(kind)}')
     if not _is_exactly(number, int) or number < 0:
-        raise _malformed(f'invalid request number {number!r}')
+        raise _malformed(f'invalid request number {short_repr(number)}')
     if not isinstance(tag, str):
-        raise _malformed(f'invalid message tag {tag!r}')
+        raise _malformed(f'invalid message tag {short_repr(tag)}')
     try:
         message = _decode_message(tag, values)
     except ProtocolError as error:
--- a/src/limpetlanding/wire/tests/test_codec.py
+++ b/src/limpetlanding/wire/tests/test_codec.py
@@ -1,3 +1,4 @@
+from contextlib import suppress
 from dataclasses import fields, is_dataclass
 from types import NoneType
 from typing import get_args, get_origin, get_type_hints
@@ -203,3 +204,20 @@
     second = decode_body(body_of('answer', ['b', 'x'])).message
     first.results.append(1)
     assert second == JobAnswer('b', 'x')
+
+
+@pytest.mark.parametrize('position', range(4))
+@pytest.mark.parametrize('depth', [400, 900, 1015, 100_000])
+def test_deeply_nested_frame_is_refused(position, depth):
+    # Guards against a dialer that ends at the first frame of a stranger.
+    items = [b'\x00', b'\x00', b'\xa3ack', b'\x90']
+    items[position] = b'\x91' * depth + b'\x90'
+    with pytest.raises(ProtocolError):
+        decode_body(b'\x94' + b''.join(items))
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.binary(max_size=60))
+def test_any_bytes_are_a_frame_or_refused(content):
+    with suppress(ProtocolError):
+        decode_body(content)
