--- a/src/limpetlanding/platform/executor.py
+++ b/src/limpetlanding/platform/executor.py
@@ -8,6 +8,8 @@
 from limpetlanding.platform.decode import (
     Malformed,
     decode_inventory,
+    is_count,
+    is_executor_id,
     load_object,
 )
 from limpetlanding.runs.ports import (
@@ -73,10 +75,14 @@
             return StartReply(None, 'unhealthy')
         fields = _load(content, self.address) if content else {}
         clock_ms = fields.get('clockMs')
+        if not is_count(clock_ms):
+            clock_ms = None
         if status == _OK:
             return StartReply(clock_ms)
-        reason = _REFUSAL_REASONS.get(str(fields.get('reason')), 'invalid')
-        return StartReply(clock_ms, reason)
+        reason = fields.get('reason')
+        # An odd reason may be of any type.
+        known = reason if isinstance(reason, str) else ''
+        return StartReply(clock_ms, _REFUSAL_REASONS.get(known, 'invalid'))
 
     async def stop(self, to: CallTarget, task: str, run: int) -> None:
         """Stop a run; see `ExecutorPort`."""
@@ -118,14 +124,14 @@
                 f'http://{self.address}/health'
             ) as response:
                 await response.read()
-                executor_id = response.headers.get(_EXECUTOR_ID_HEADER)
+                executor_id = response.headers.get(_EXECUTOR_ID_HEADER, '')
         except (aiohttp.ClientError, OSError) as error:
             raise ExecutorUnavailable(
                 repr(error), step='identify', peer=self.address
             ) from error
-        if not executor_id:
+        if not is_executor_id(executor_id):
             raise ExecutorUnavailable(
-                f'status {response.status} without id',
+                f'status {response.status} without a usable id',
                 step='identify',
                 peer=self.address,
             )
--- a/src/limpetlanding/platform/store.py
+++ b/src/limpetlanding/platform/store.py
@@ -1,9 +1,8 @@
 """Client of the platform's store, a log whose records have topics and keys."""
 
 import asyncio
-import base64
-import re
 from collections.abc import AsyncIterator, Iterator
+from contextlib import contextmanager
 from dataclasses import asdict
 
 import aiohttp
@@ -11,7 +10,14 @@
 from loguru import logger
 
 from limpetlanding.platform.decode import Malformed, decode_catalog
-from limpetlanding.runs.model import Catalog, Resources
+from limpetlanding.platform.records import (
+    Record,
+    decode_page,
+    decode_records,
+    encode_record,
+    worker_record,
+)
+from limpetlanding.runs.model import Catalog
 from limpetlanding.runs.ports import StoreUnavailable, WorkerRecord
 
 CONFIG_TOPIC = 'keyed.op'
@@ -30,15 +36,8 @@
 CALL_TIMEOUT_S = 1
 """The store answers in 4 ms, or in 240 ms while it is slow."""
 
-Record = tuple[str, bytes]
-"""Key and value of a record."""
-
-_ADDRESS = re.compile(r'[^\s:]+:\d{1,5}')
-
 _OK = 200
 _GONE = 410
-_NUMBER_BYTES = 8
-_LENGTH_BYTES = 4
 
 
 class LogStore:
@@ -80,21 +79,21 @@
             'log-append',
             {'topic': WORKERS_TOPIC, 'part': '0'},
             CALL_TIMEOUT_S,
-            _encode_record(record.name.encode(), value),
+            encode_record(record.name.encode(), value),
         )
 
     async def worker(self, name: str) -> WorkerRecord | None:
         """Return the record of a worker; see `StorePort`."""
         newest, _ = await self._read_newest(WORKERS_TOPIC)
         value = dict(newest).get(name)
-        return None if value is None else _worker_record(name, value)
+        return None if value is None else worker_record(name, value)
 
     async def workers(self) -> AsyncIterator[list[WorkerRecord]]:
         """Yield the records of workers that register; see `StorePort`."""
         async for changes in self._changes(
             WORKERS_TOPIC, WORKERS_WAIT_MS, WORKERS_TIMEOUT_S
         ):
-            records = [_worker_record(*change) for change in changes]
+            records = [worker_record(*change) for change in changes]
             yield [record for record in records if record is not None]
 
     async def close(self) -> None:
@@ -127,14 +126,18 @@
         if status == _GONE:
             # The records have expired; only the newest of each key are kept.
             return [], None
-        return _decode_records(content, start)
+        with self._answers_checked():
+            return decode_records(content, start)
 
     async def _read_newest(self, topic: str) -> tuple[list[Record], int]:
-        newest, end, last_key = await self._read_page(topic, '')
-        while last_key:
+        newest, end, next_key = await self._read_page(topic, '')
+        last_key = ''
+        # A page that names the same key again would be read without end.
+        while next_key not in {'', last_key}:
+            last_key = next_key
             # Records may be appended between the pages. Those are read later,
             # from the end that the first page gave.
-            page, _, last_key = await self._read_page(topic, last_key)
+            page, _, next_key = await self._read_page(topic, last_key)
             newest += page
         return newest, end
 
@@ -147,12 +150,17 @@
         _, content = await self._call(
             'GET', 'log-newest', query, CALL_TIMEOUT_S
         )
+        with self._answers_checked():
+            return decode_page(content)
+
+    @contextmanager
+    def _answers_checked(self) -> Iterator[None]:
         try:
-            return _decode_page(content)
-        except (ValueError, LookupError, TypeError) as error:
+            yield
+        except Malformed as error:
             raise StoreUnavailable(
-                f'unreadable page: {error!r}',
-                step='log-newest',
+                f'unreadable answer: {error.detail}',
+                step=error.step,
                 peer=self.address,
             ) from error
 
@@ -196,62 +204,3 @@
             'configuration ignored: {}', error.detail
         )
         return None
-
-
-def _worker_record(name: str, value: bytes) -> WorkerRecord | None:
-    try:
-        fields = orjson.loads(value)
-        capacity = fields['capacity'] and Resources(**fields['capacity'])
-        address, domain = fields['address'], fields.get('failure_domain', '')
-        if not _ADDRESS.fullmatch(address) or not isinstance(domain, str):
-            raise ValueError(f'address {address!r}, failure domain {domain!r}')
-        return WorkerRecord(name, address, capacity, domain)
-    except (ValueError, LookupError, TypeError) as error:
-        logger.bind(step='members', peer=name).error(
-            'record of the worker ignored: {!r}', error
-        )
-        return None
-
-
-def _decode_page(content: bytes) -> tuple[list[Record], int, str]:
-    page = orjson.loads(content)
-    items = page['items']
-    values = [(x['key'], base64.b64decode(x['value'])) for x in items]
-    last_key = items[-1]['key'] if page['hasMore'] else ''
-    return values, page['end'], last_key
-
-
-def _encode_record(key: bytes, value: bytes) -> bytes:
-    """Return a record in the form that the store reads.
-
-    It consists of the record's length, the length of its key, key and value.
-
-    Examples
-    --------
-    >>> list(_encode_record(b'w', b'7'))
-    [0, 0, 0, 3, 1, 119, 55]
-    """
-    content = bytes((len(key),)) + key + value
-    return len(content).to_bytes(_LENGTH_BYTES, 'big') + content
-
-
-def _decode_records(content: bytes, start: int) -> tuple[list[Record], int]:
-    records = list(_split_records(content[2 * _NUMBER_BYTES :]))
-    changes = [_decode_record(record) for record in records if record]
-    # A record without a value deletes its key.
-    kept = [(key, value) for key, value in changes if value]
-    return kept, start + len(records)
-
-
-def _decode_record(record: bytes) -> Record:
-    size = 1 + record[0]
-    return record[1:size].decode(errors='replace'), record[size:]
-
-
-def _split_records(content: bytes) -> Iterator[bytes]:
-    position = 0
-    while position + _LENGTH_BYTES <= len(content):
-        begin = position + _LENGTH_BYTES
-        size = int.from_bytes(content[position:begin], 'big')
-        position = begin + size
-        yield content[begin:position]
--- a/src/limpetlanding/wire/node.py
+++ b/src/limpetlanding/wire/node.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from limpetlanding.errors import PeerLost, ProtocolError, RequestTimeout
+from limpetlanding.wire.addresses import split_address
 from limpetlanding.wire.channel import Channel, Handler
 from limpetlanding.wire.counters import Counters
 from limpetlanding.wire.dialer import Dialer, DialMode
@@ -324,11 +325,15 @@
         await self._establish_link(reader, writer, '')
 
     async def _open_connection(self, address: str) -> Channel | None:
-        host, port = split_address(address)
-        async with asyncio.timeout(self.options.timing.hello_s):
-            streams = await self.connect(
-                host, port, **_tls(self.options.client_tls)
-            )
+        try:
+            host, port = split_address(address)
+            async with asyncio.timeout(self.options.timing.hello_s):
+                streams = await self.connect(
+                    host, port, **_tls(self.options.client_tls)
+                )
+        except (ValueError, OverflowError) as error:
+            # A peer may have named an address that no connection can have.
+            raise OSError(f'unusable address {address[:50]!r}') from error
         return await self._establish_link(*streams, address)
 
     async def _establish_link(
@@ -391,18 +396,6 @@
         return delay_ms(*domains) / 1000
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of ``host:port``.
-
-    Examples
-    --------
-    >>> split_address('127.0.0.1:7000')
-    ('127.0.0.1', 7000)
-    """
-    host, _, port = address.rpartition(':')
-    return host, int(port)
-
-
 async def _cancel(tasks: Any) -> None:
     tasks = [task for task in tasks if task is not asyncio.current_task()]
     for task in tasks:
