Do not set an executor's clock back by a reading from before a pause

ExecutorClock.record accepted a reading that was up to 2% lower than the estimate of the whole clock.

Only the time since the last reading can deviate by 2%. A reading is ignored if it is surely older than 250 ms, about the time for which answers are awaited. The tolerance is needed: an executor that always answers late and has a slow clock would otherwise be left with its first reading.

--- a/src/limpetlanding/runs/executor_clock.py
+++ b/src/limpetlanding/runs/executor_clock.py
@@ -5,6 +5,12 @@
 SLOWEST_RATE = 0.98
 """Lowest rate of an executor's clock; the platform allows a deviation of 2%."""
 
+MAX_READING_AGE_MS = 250
+"""A reading that is older when it is recorded is ignored. Answers are awaited
+for about this long, so that an older one was read late, as after a pause of
+this process. With a lower limit, an executor that is slow to answer would be
+left with its first reading, from which the estimate drifts by 2%."""
+
 
 @dataclass(slots=True)
 class ExecutorClock:
@@ -27,12 +33,8 @@
     received: float = 0
 
     def record(self, clock_ms: int, received: float) -> None:
-        """Record a reading, unless it is over 2% lower than the estimate.
-
-        Such a reading is older than the latest one.
-        """
-        expected = self.read_at(received)
-        if expected is None or clock_ms >= expected * SLOWEST_RATE:
+        """Record a reading, unless it is surely older than the limit."""
+        if not self.is_past(clock_ms + MAX_READING_AGE_MS + 1, received):
             self.clock_ms = clock_ms
             self.received = received
 
