Use a worker's record only for the executor that it describes

A worker that restarts takes the capacity of its executor from its record in the store. The record did not say which executor had announced it, nor whether that executor was draining. A smaller executor that had meanwhile replaced the recorded one was filled beyond its capacity until its next announcement, up to 1.5 s later; a draining one was given tasks; and a worker whose store answered again used the record for an executor that had already said that it leaves.

The record now has the incarnation of the executor and its draining state. It is used only for this incarnation, and only as long as no executor has announced itself to the process. Records of an earlier build name no incarnation and are not used. The price is one write for each new executor and for each one that drains; until now only changes of the capacity were written.

Found by reading. The five tests failed before: the worker held the executor i-new/2000 with the capacity of i-0/1000, i-0/2000 with that of i-0/1000, started a task on the draining one, and held one that had left.

--- a/src/limpetlanding/platform/store.py
+++ b/src/limpetlanding/platform/store.py
@@ -73,6 +73,8 @@
                 'address': record.address,
                 'capacity': record.capacity and asdict(record.capacity),
                 'failure_domain': record.failure_domain,
+                'executor': record.executor,
+                'draining': record.draining,
             }
         )
         await self._call(
@@ -205,7 +207,9 @@
         address, domain = fields['address'], fields.get('failure_domain', '')
         if not _ADDRESS.fullmatch(address) or not isinstance(domain, str):
             raise ValueError(f'address {address!r}, failure domain {domain!r}')
-        return WorkerRecord(name, address, capacity, domain)
+        executor = str(fields.get('executor', ''))
+        draining = bool(fields.get('draining'))
+        return WorkerRecord(name, address, capacity, domain, executor, draining)
     except (ValueError, LookupError, TypeError) as error:
         logger.bind(step='members', peer=name).error(
             'record of the worker ignored: {!r}', error
--- a/src/limpetlanding/platform/tests/test_capacity_changes.py
+++ b/src/limpetlanding/platform/tests/test_capacity_changes.py
@@ -2,7 +2,12 @@
 
 import asyncio
 
-from limpetlanding.platform.tests.rig import HEARTBEAT_INTERVAL_S, System, body
+from limpetlanding.platform.tests.rig import (
+    HEARTBEAT_INTERVAL_S,
+    LINK_PORT,
+    System,
+    body,
+)
 from limpetlanding.standin.platform_checks import peak_cpu
 
 CPU_PER_TASK = 3000
@@ -94,3 +99,67 @@
             await change_capacity(system, SHRUNK_CPU)
             await system.announce(0, late)
             assert await peak_cpu_of_jobs(system, 'a') <= SHRUNK_CPU
+
+
+class TestRestartedWorker:
+    """Guards against a worker that takes another executor for the recorded one.
+
+    It knows the executor only from its record until the next announcement.
+    """
+
+    async def test_record_of_a_replaced_executor_is_not_used(self):
+        async with System(worker_count=1).run() as system:
+            system.heartbeats.pop().cancel()
+            await system.kill('w0')
+            system.executors[0].cpu = SHRUNK_CPU
+            system.executors[0].restart('i-new')
+            await system.start_worker(0, incarnation=2)
+            await system.settle(0.5)
+            assert system.workers[0].supervisor.executor is None
+
+    async def test_record_of_an_earlier_incarnation_is_not_used(self):
+        async with System(worker_count=1).run() as system:
+            system.heartbeats.pop().cancel()
+            await system.kill('w0')
+            system.executors[0].cpu = SHRUNK_CPU
+            system.executors[0].restart('i-0')
+            await system.start_worker(0, incarnation=2)
+            await system.settle(0.5)
+            assert system.workers[0].supervisor.executor is None
+
+    async def test_executor_that_was_draining_gets_nothing(self):
+        async with System(worker_count=1).run() as system:
+            system.executors[0].draining = True
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S + 0.1)
+            system.heartbeats.pop().cancel()
+            await system.kill('w0')
+            await system.start_worker(0, incarnation=2)
+            await system.settle(0.5)
+            await system.submit('a' * 16, body(1), wait_ms=1000)
+            assert not system.history()
+
+    async def test_record_without_the_executor_is_not_used(self):
+        # Guards against records of an earlier build.
+        async with System(worker_count=1).run() as system:
+            system.heartbeats.pop().cancel()
+            await system.kill('w0')
+            record = {
+                'address': f'127.0.0.1:{LINK_PORT}',
+                'capacity': {'cpu': CPU, 'memory_mb': 65_536, 'gpu': 0},
+                'failure_domain': 'z1',
+            }
+            system.store.put('keyed.workers', 'w0', record)
+            await system.start_worker(0, incarnation=2)
+            await system.settle(0.5)
+            assert system.workers[0].supervisor.executor is None
+
+    async def test_executor_that_has_left_is_not_used_again(self):
+        # Guards against a store that answers again after the departure.
+        async with System(worker_count=1).run() as system:
+            system.store.faults.status = 503
+            await change_capacity(system, SHRUNK_CPU)
+            system.heartbeats.pop().cancel()
+            system.workers[0].handle_departure('i-0')
+            system.store.faults.status = None
+            await asyncio.sleep(2)
+            assert system.workers[0].supervisor.executor is None
--- a/src/limpetlanding/runs/ports.py
+++ b/src/limpetlanding/runs/ports.py
@@ -191,12 +191,19 @@
         announced itself yet.
     failure_domain : str
         Failure domain of the machine; empty if the record does not state it.
+    executor : str
+        Incarnation of the executor that announced the capacity; empty if the
+        record does not state it.
+    draining : bool
+        Whether that executor was about to shut down.
     """
 
     name: str
     address: str
     capacity: Resources | None = None
     failure_domain: str = ''
+    executor: str = ''
+    draining: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/limpetlanding/runs/registration.py
+++ b/src/limpetlanding/runs/registration.py
@@ -2,7 +2,9 @@
 
 Fronts find the worker by its record. A worker that has restarted takes the
 capacity of its executor from the record, because the next announcement of the
-executor may take 1.5 s. Each change of the capacity is recorded.
+executor may take 1.5 s. It does so only if the executor is still the one that
+announced the capacity, because another one may be smaller. Each change is
+recorded.
 """
 
 import asyncio
@@ -85,19 +87,30 @@
         if record is None or record.address != hello.address:
             record = current
             await self.store.register_worker(record)
-        elif record.capacity is not None and self.pool:
-            await self._use_recorded_capacity(record.capacity)
+        elif record.capacity is not None and record.executor and self.pool:
+            await self._use_recorded_executor(record, record.capacity)
         while True:
             await self.announced.wait()
             self.announced.clear()
-            capacity = self.worker.supervisor.capacity
-            if capacity not in {Resources(), record.capacity}:
-                record = replace(current, capacity=capacity)
-                await self.store.register_worker(record)
+            executor = self.worker.supervisor.executor
+            if executor is None:
+                continue
+            newest = replace(
+                current,
+                capacity=executor.capacity,
+                executor=executor.incarnation,
+                draining=executor.draining,
+            )
+            if newest != record:
+                await self.store.register_worker(newest)
+                record = newest
 
-    async def _use_recorded_capacity(self, capacity: Resources) -> None:
+    async def _use_recorded_executor(
+        self, record: WorkerRecord, capacity: Resources
+    ) -> None:
         supervisor = self.worker.supervisor
-        while supervisor.executor is None:
+        # An executor that has announced itself to this process may have left.
+        while not supervisor.generation:
             try:
                 async with asyncio.timeout(PROBE_INTERVAL_S):
                     executor_id = await self.port.identify()
@@ -109,20 +122,24 @@
             except (ExecutorUnavailable, ExecutorReplaced, TimeoutError):
                 await asyncio.sleep(PROBE_INTERVAL_S)
                 continue
-            if inventory.start_time_ms and supervisor.executor is None:
+            executor = Executor(
+                executor_id=executor_id,
+                start_time_ms=inventory.start_time_ms,
+                pool=self.pool,
+                capacity=capacity,
                 # Labels may have changed. Tasks that need a label wait for the
                 # announcement.
-                supervisor.handle_announcement(
-                    Executor(
-                        executor_id=executor_id,
-                        start_time_ms=inventory.start_time_ms,
-                        pool=self.pool,
-                        capacity=capacity,
-                        labels=(),
-                        draining=False,
-                        sequence=-1,
-                    )
-                )
+                labels=(),
+                draining=record.draining,
+                sequence=-1,
+            )
+            is_recorded = executor.incarnation == record.executor
+            if (
+                is_recorded
+                and inventory.start_time_ms
+                and not supervisor.generation
+            ):
+                supervisor.handle_announcement(executor)
                 logger.bind(step='register', cpu=capacity.cpu).info(
                     'executor known from the record'
                 )
