Exit with 4 if an earlier request of a submission may have run

`limpetlanding submit` reported the last answer only. If the answer to the first request was lost, or the job was still running, and the repetition was rejected with an error that concerns the request alone (401 after the key was withdrawn, for example), it ended with exit code 1, which says that the job has not run. The same happened if a repeatable job that may have run got a new id and was refused under that, or got none.

The client now keeps the ids under which the job may have run. Only an answer with an outcome or a success settles its id; refusals with the outcome not_run do, because the coordinator records them. An answer that leaves an id open ends with exit code 4 and says so in the text and the JSON output. A missing new id returns the last answer instead of an error, and an answer to a request for ids that has none no longer ends with a KeyError.

--- a/src/limpetlanding/cli/caller.py
+++ b/src/limpetlanding/cli/caller.py
@@ -135,6 +135,8 @@
     """
     if answer.outcome == Outcome.MAY_HAVE_RUN or answer.status == 0:
         return UNKNOWN
+    if answer.earlier_may_have_run and answer.outcome != Outcome.COMPLETE:
+        return UNKNOWN
     if answer.status == 500 or (answer.status > 500 and not answer.body):
         return UNKNOWN
     if answer.status in {200, 202} and answer.outcome in {
@@ -158,6 +160,8 @@
         for name in ('reason', 'detail', 'step', 'peer', 'next_id')
         if body.get(name)
     )
+    if answer.earlier_may_have_run:
+        lines.append('  an earlier request may have run the job')
     lines.extend(
         f'  task {item["index"]}: {item["run_ms"]:.0f} ms at '
         f'{item["endpoint"]}: {orjson.dumps(item["payload"]).decode()}'
@@ -177,6 +181,8 @@
         sys.exit(FAILURE)
     if as_json:
         output = answer.body or {'outcome': None, 'detail': answer.detail}
+        if answer.earlier_may_have_run:
+            output = output | {'earlier_may_have_run': True}
         print(orjson.dumps(output).decode())
     else:
         print(render(answer))
--- a/src/limpetlanding/cli/client.py
+++ b/src/limpetlanding/cli/client.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any
 
@@ -35,12 +35,16 @@
         False if the request cannot have reached an entry.
     detail : str
         Why there is no answer or no JSON body.
+    earlier_may_have_run : bool
+        Whether the job may have run because of an earlier request of the same
+        submission, which this answer does not settle.
     """
 
     status: int = 0
     body: dict[str, Any] = field(default_factory=dict)
     sent: bool = True
     detail: str = ''
+    earlier_may_have_run: bool = False
 
     @property
     def outcome(self) -> str:
@@ -52,6 +56,22 @@
         """Reason in the answer, empty if it has none."""
         return self.body.get('reason') or ''
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the job of a submission may have run or still runs."""
+        if not self.status:
+            return self.sent
+        if self.outcome:
+            return self.outcome == Outcome.MAY_HAVE_RUN
+        # An error without an outcome concerns the request alone, unless a load
+        # balancer sent it.
+        return self.status < 300 or (self.status >= 500 and not self.body)
+
+    @property
+    def settles(self) -> bool:
+        """Whether the answer tells the state of the job."""
+        return bool(self.outcome) or 200 <= self.status < 300
+
 
 class NoAnswer(LimpetlandingError):
     """No entry answered; whether one handled the request is unknown."""
@@ -122,7 +142,7 @@
         attempt = 0
         while True:
             answer = await self.call('POST', '/v1/ids', {'count': 1})
-            if answer.status == 200:
+            if answer.status == 200 and answer.body.get('ids'):
                 return answer.body['ids'][0]
             is_client_error = 400 <= answer.status < 500
             if is_client_error or not self.budget.try_withdraw():
@@ -142,9 +162,9 @@
         Raises
         ------
         NoAnswer
-            If no entry answers the request for an id.
+            If no entry answers the request for the first id.
         LimpetlandingError
-            If the request for an id fails with an error.
+            If the request for the first id fails with an error.
         """
         self.budget.deposit()
         stop_at = (
@@ -152,12 +172,11 @@
             + self.options.submission_timeout_s
         )
         body = body | {'id': body.get('id') or await self.mint()}
+        # Ids under which the job may have run so far.
+        doubtful: set[str] = set()
         attempt = 0
         while True:
-            answer = await self.call('POST', '/v1/jobs', body)
-            if body.get('wait', True):
-                answer = await self._wait_for_end(answer, body['id'], stop_at)
-            answer = _check_answer(answer, body)
+            answer = await self._submit_once(body, stop_at, doubtful)
             retry_mode = _choose_retry(answer, bool(body.get('repeatable')))
             timed_out = asyncio.get_running_loop().time() >= stop_at
             if (
@@ -169,7 +188,9 @@
             await self._pause(attempt, answer)
             attempt += 1
             if retry_mode == 'fresh id':
-                new_id = answer.body.get('next_id') or await self.mint()
+                new_id = answer.body.get('next_id') or await self._next_id()
+                if not new_id:
+                    return answer
                 body = body | {'id': new_id}
 
     async def status(self, job_id: str, wait_ms: int = 0) -> Answer:
@@ -206,10 +227,33 @@
         except aiohttp.ClientConnectorError as error:
             self.entry_index += 1
             return Answer(sent=False, detail=str(error))
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ClientError, OSError) as error:
             self.entry_index += 1
             return Answer(detail=str(error) or type(error).__name__)
 
+    async def _submit_once(
+        self, body: dict[str, Any], stop_at: float, doubtful: set[str]
+    ) -> Answer:
+        answer = await self.call('POST', '/v1/jobs', body)
+        if answer.may_have_run:
+            doubtful.add(body['id'])
+        if body.get('wait', True):
+            answer = await self._wait_for_end(answer, body['id'], stop_at)
+        answer = _check_answer(answer, body)
+        if answer.settles:
+            doubtful.discard(body['id'])
+        earlier_may_have_run = bool(doubtful)
+        if answer.may_have_run:
+            doubtful.add(body['id'])
+        return replace(answer, earlier_may_have_run=earlier_may_have_run)
+
+    async def _next_id(self) -> str:
+        """Return a new id for a job that was submitted before, or ''."""
+        try:
+            return await self.mint()
+        except LimpetlandingError:
+            return ''
+
     async def _wait_for_end(
         self, answer: Answer, job_id: str, stop_at: float
     ) -> Answer:
--- a/src/limpetlanding/cli/tests/test_client.py
+++ b/src/limpetlanding/cli/tests/test_client.py
@@ -53,6 +53,10 @@
     return 504, {'outcome': 'may_have_run', 'reason': 'entry_timeout'}
 
 
+def unknown_key(_body):
+    return 401, {'outcome': None, 'detail': 'unknown key'}
+
+
 def balancer_error(_body):
     return 502, None
 
@@ -74,8 +78,11 @@
         self.script = list(script)
         self.ids = []
         self.minted = 0
+        self.most_ids = None
 
     async def post_ids(self, _request):
+        if self.minted == self.most_ids:
+            return web.json_response({'detail': 'no id'}, status=503)
         self.minted += 1
         return web.json_response({'ids': [f'id-{self.minted}']})
 
@@ -209,6 +216,44 @@
         assert exit_code(answer) == 4
         assert len(entry.ids) == 1
 
+    @pytest.mark.parametrize(
+        'step', [connection_lost, running, balancer_error, entry_timeout]
+    )
+    async def test_refused_repetition_leaves_a_lost_answer_unknown(self, step):
+        # Guards against a caller that is told, after a lost answer, that the
+        # job has not run, because the key was withdrawn meanwhile.
+        entry = FakeEntry(step, *[unknown_key] * 2)
+        async with client_of(entry, retries=5) as client:
+            answer = await client.submit(JOB)
+        assert exit_code(answer) == 4
+        assert 'may have run' in render(answer)
+
+    async def test_refusal_of_a_new_id_leaves_the_earlier_one_unknown(self):
+        entry = FakeEntry(coordinator_lost, refused_for_good)
+        async with client_of(entry, retries=5) as client:
+            answer = await client.submit(JOB | {'repeatable': True})
+        assert entry.ids == ['id-1', 'id-2']
+        assert exit_code(answer) == 4
+
+    async def test_missing_new_id_leaves_the_earlier_one_unknown(self):
+        entry = FakeEntry(coordinator_lost)
+        entry.most_ids = 1
+        async with client_of(entry, retries=5) as client:
+            answer = await client.submit(JOB | {'repeatable': True})
+        assert exit_code(answer) == 4
+
+    async def test_refusal_by_the_coordinator_settles_a_lost_answer(self):
+        entry = FakeEntry(connection_lost, refused_for_good)
+        async with client_of(entry, retries=5) as client:
+            answer = await client.submit(JOB)
+        assert exit_code(answer) == 1
+
+    async def test_refused_key_without_an_earlier_attempt_is_a_failure(self):
+        entry = FakeEntry(unknown_key)
+        async with client_of(entry, retries=5) as client:
+            answer = await client.submit(JOB)
+        assert exit_code(answer) == 1
+
     async def test_next_entry_is_tried_after_a_refused_connection(self):
         entry = FakeEntry()
         entries = ['http://127.0.0.1:1', 'http://127.0.0.1:8100']
