Keep a worker whose address another worker had before

When a worker's record names a new address, a front drops the former one. It did so also if another worker had meanwhile registered at that address, as after machines have exchanged their addresses or one was replaced: the front released its link to a live worker until that worker's record changed or it dialed the front. The former address is now dropped only if no record names it.

test_address_taken_over_from_another_worker_stays_in_use failed before: the link was closed and replaced. The other tests of the new file passed before. They show that a withdrawn route is not served again by a front that starts while the store is out and one peer has missed the change, nor after the store has answered with an older version, and that a front without store and peers serves nothing.

--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -220,7 +220,9 @@
         for record in records:
             previous = self.recorded.get(record.name, record.address)
             self.recorded[record.name] = record.address
-            if previous != record.address:
+            has_moved = previous != record.address
+            # Another worker may have taken over the former address.
+            if has_moved and previous not in self.recorded.values():
                 self.subset.forget(previous)
             self._add_worker(record.address, record.failure_domain)
 
