Reject jobs with negative resources and unreadable deadlines

A job with a negative cpu, memMb or gpu was run, and its tasks made room for others beyond the capacity of their executor. A deadline of several hundred digits ended in an OverflowError, and its client got 500 instead of 400.

Both are rejected with 400 now.

--- a/src/limpetlanding/platform/decode.py
+++ b/src/limpetlanding/platform/decode.py
@@ -176,9 +176,13 @@
     after = tuple(optional_field(fields, 'dependsOn', list, [], 'submit'))
     if not all(isinstance(x, int) and 0 <= x < index for x in after):
         raise Malformed(f'step {index}: dependsOn {after}', step='submit')
+    need = _decode_room(fields, 'submit')
+    if not need.covers(Resources()):
+        # Such a task would make room for others beyond the capacity.
+        raise Malformed(f'step {index}: negative resources', step='submit')
     return Step(
         count=count,
-        need=_decode_room(fields, 'submit'),
+        need=need,
         estimate_ms=float(optional_number(fields, 'estimateMs', 'submit')),
         after=after,
         label=optional_field(fields, 'requirements', str, '', 'submit'),
--- a/src/limpetlanding/platform/ingress.py
+++ b/src/limpetlanding/platform/ingress.py
@@ -111,9 +111,9 @@
         return DEFAULT_WAIT_S
     try:
         return max(int(value) / 1000 - ANSWER_MARGIN_S, 0)
-    except ValueError as error:
+    except (ValueError, OverflowError) as error:
         raise Malformed(
-            f'{_DEADLINE_HEADER}: {value!r}', step='submit'
+            f'{_DEADLINE_HEADER}: {value[:20]!r}', step='submit'
         ) from error
 
 
