Test that a withdrawn key stays withdrawn after an entry's restart

A contract version that withdraws a key reaches all processes but one agent. An entry that starts beside this agent refuses the key, also if it reaches no other process but the log.

--- a/src/limpetlanding/config/tests/test_spread.py
+++ b/src/limpetlanding/config/tests/test_spread.py
@@ -13,6 +13,8 @@
 # Target: a change is in force in all processes within this time.
 IN_FORCE_S = 17
 
+OTHER_KEY = 'b' * 64
+
 
 @pytest.fixture
 async def fleet():
@@ -255,3 +257,40 @@
         await asyncio.sleep(300)
         assert restarted.version() == 2
         assert standin_log.streams['contracts'].next == 3
+
+
+class TestWithdrawnKey:
+    """Guards against a withdrawn key that is in use again after a restart."""
+
+    @pytest.mark.parametrize(
+        ('outage', 'reachable'),
+        [
+            (False, ['a1', 'a2', 'a3', 'a4']),
+            (True, ['a1', 'a2', 'a3', 'a4']),
+            # Only the log can tell that the one agent is outdated.
+            (False, ['a4']),
+        ],
+    )
+    async def test_restarted_entry_refuses_it_beside_an_outdated_agent(
+        self, standin_log, fleet, outage, reachable
+    ):
+        await start_small_fleet(fleet)
+        append(standin_log, 1)
+        await asyncio.sleep(IN_FORCE_S)
+        fleet.partition('a4')
+        withdrawn = contract('apples', 2) | {'keys': [OTHER_KEY]}
+        standin_log.append('contracts', record('apples', 2, withdrawn).body())
+        await asyncio.sleep(IN_FORCE_S)
+        assert fleet.members['a4'].version() == 1
+        set_log_faults(standin_log, outage=outage)
+        await fleet.stop('e1', 'e2', 'e3')
+        entry = await fleet.entry('e5')
+        fleet.isolated = {'e5', *reachable}
+        (key,) = contract('apples', 1)['keys']
+        accepting = []
+        for step in range(IN_FORCE_S * 20):
+            await asyncio.sleep(0.05)
+            if entry.store.informed and entry.store.customer_of(key):
+                accepting.append(step)
+        assert entry.version() == 2
+        assert not accepting
