Read the log again after a page with an infinite number

A page whose offset or next offset is beyond the range of a float raised an OverflowError in the reader of an entry. Background tasks end the process on an unexpected error, so that such an answer would have ended all readers in turn. It is treated like any malformed page now: the log counts as unavailable and is read again.

Two of the nine cases failed before with OverflowError.

--- a/src/limpetlanding/logservice/client.py
+++ b/src/limpetlanding/logservice/client.py
@@ -20,6 +20,9 @@
 MAX_PAGE_BYTES = 8 * 1024 * 1024
 DEFAULT_TIMEOUT_MS = 2_000
 
+# A number beyond the range of a float raises the last one.
+_MALFORMED_PAGE_ERRORS = (KeyError, TypeError, ValueError, OverflowError)
+
 _OK = 200
 _GONE = 410
 _TOO_MANY_REQUESTS = 429
@@ -195,7 +198,7 @@
                 int(data['first']),
                 at_end=len(records) < limit,
             )
-        except (KeyError, TypeError, ValueError) as error:
+        except _MALFORMED_PAGE_ERRORS as error:
             raise self._unavailable('read log', 'malformed page') from error
         if not _is_ordered(page, start):
             raise self._unavailable('read log', 'offsets out of order')
--- a/src/limpetlanding/logservice/tests/test_client.py
+++ b/src/limpetlanding/logservice/tests/test_client.py
@@ -3,7 +3,9 @@
 from random import Random
 
 import pytest
+from aiohttp import web
 
+from limpetlanding.lifecycle.serving import run_http_server
 from limpetlanding.logservice import (
     LogClient,
     LogRefused,
@@ -124,3 +126,31 @@
         async for page in client.pages(0):
             bodies.extend(record.body for record in page.records)
         assert bodies == [{'n': 0}, None, {'n': 2}]
+
+    @pytest.mark.parametrize(
+        'answer',
+        [
+            '{}',
+            '[]',
+            '{"records": 7, "next": 1, "first": 0}',
+            '{"records": [7], "next": 1, "first": 0}',
+            '{"records": [{"offset": 0}], "next": 1, "first": 0}',
+            '{"records": [], "next": 1e999, "first": 0}',
+            '{"records": [{"offset": 1e999, "body": 1}], "next":1, "first":0}',
+            '{"records": [], "next": NaN, "first": 0}',
+            '{"records": [], "next": -1, "first": 0}',
+        ],
+    )
+    async def test_malformed_page_is_an_unavailable_log(self, answer):
+        # Guards against an answer that ends the reader, and with it the entry.
+        async def serve(_request):
+            return web.Response(text=answer)
+
+        app = web.Application()
+        app.router.add_route('*', '/{path:.*}', serve)
+        async with (
+            run_http_server(app, '127.0.0.1:7401', 0),
+            LogClient('http://127.0.0.1:7401', 'contracts', 500) as client,
+        ):
+            with pytest.raises(LogUnavailable):
+                await client.read(0)
