Tell fronts that start of the recent cancellations

A front remembers the ids of cancelled jobs for 30 s, so that a submission that arrives late is not run. A front that started within this time did not know them, and ran a job that its client had cancelled at another front. Fronts send the ids to each front that they are linked with now; one that knows an id ignores it, so that neither the log nor the memory grows with the number of fronts.

test_front_that_has_restarted_does_not_run_it failed before (completed instead of failed). test_cancellation_is_forgotten_after_its_time passed before and after.

--- a/src/limpetlanding/platform/tests/test_restarts.py
+++ b/src/limpetlanding/platform/tests/test_restarts.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from limpetlanding.platform.tests.rig import LINK_PORT, System, config
+from limpetlanding.runs.dispatcher import ENDED_JOB_RETENTION_S
 from limpetlanding.runs.model import Catalog
 
 JOB = '5c0e7a21d94b36f8'
@@ -59,6 +60,32 @@
             assert (await system.submit(JOB))[0] == 503
 
 
+class TestCancelledJobs:
+    """Guards against a cancelled job that runs at a restarted front."""
+
+    async def test_front_that_has_restarted_does_not_run_it(self):
+        async with System(front_count=2).run() as system:
+            await system.call('DELETE', f'/quote/{JOB}', front=0)
+            await system.kill('f1')
+            await system.start_front(1, incarnation=2)
+            await system.settle()
+            assert await system.submit(JOB, front=1) == (
+                200,
+                {'state': 'failed'},
+            )
+            assert not system.history()
+
+    async def test_cancellation_is_forgotten_after_its_time(self):
+        # Guards against fronts that remind each other without end.
+        async with System(front_count=2).run() as system:
+            await system.call('DELETE', f'/quote/{JOB}', front=0)
+            await asyncio.sleep(20)
+            await system.kill('f1')
+            await system.start_front(1, incarnation=2)
+            await asyncio.sleep(ENDED_JOB_RETENTION_S + 5)
+            assert not any(x.dispatcher.cancelled for x in system.fronts)
+
+
 class TestAddresses:
     """Guards against a worker that is dropped as another one has moved."""
 
--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -193,7 +193,10 @@
     def _handle_job_cancelled(
         self, channel: Channel, message: JobCancelled
     ) -> None:
-        self._cancel(message.job_id, channel.peer.node)
+        job_id = message.job_id
+        dispatcher = self.dispatcher
+        if job_id in dispatcher.jobs or job_id not in dispatcher.cancelled:
+            self._cancel(job_id, channel.peer.node)
 
     def _handle_loss(self, channel: Channel, message: ExecutorLost) -> None:
         received = received_loss(message)
@@ -289,6 +292,9 @@
             channel.notify(
                 _known_workers(list(self.subset.candidates.values()))
             )
+            # The peer may have started after these cancellations.
+            for job_id in sorted(self.dispatcher.cancelled):
+                channel.notify(JobCancelled(job_id))
             return
         channel.has_work = lambda: self.dispatcher.has_runs_at(channel)
         self.dispatcher.worker_connected(channel)
