--- a/src/limpetlanding/platform/tests/test_late_messages.py
+++ b/src/limpetlanding/platform/tests/test_late_messages.py
@@ -11,6 +11,9 @@
 
 JOB = '5c0e7a21d94b36f8'
 
+RESUBMISSION_DELAY_S = 1.3
+"""Time after which the platform's clients send a job again."""
+
 
 def slow(system, work_s):
     """Let all tasks take `work_s` seconds."""
@@ -66,6 +69,42 @@
             assert len(system.history()) == 2
 
 
+class TestHandOver:
+    """Guards against orders that go out twice when a process is replaced."""
+
+    async def test_tasks_of_a_worker_that_is_replaced_at_once_do_not_overlap(
+        self,
+    ):
+        async with System().run() as system:
+            job = await running_job(system)
+            await system.kill('w0')
+            await system.start_worker(0, incarnation=2)
+            assert (await job)[0] == 200
+            assert not overlapping_runs(system.history())
+
+    async def test_job_of_a_front_that_is_replaced_at_once_does_not_overlap(
+        self,
+    ):
+        async with System().run() as system:
+            job = await running_job(system)
+            await system.kill('f0')
+            job.cancel()
+            await system.start_front(0, incarnation=2)
+            await asyncio.sleep(RESUBMISSION_DELAY_S)
+            assert (await system.submit(JOB, body(2), 9000))[0] == 200
+            assert not overlapping_runs(system.history())
+
+    async def test_job_that_a_stopping_front_gave_up_does_not_overlap(self):
+        async with System(front_count=2).run() as system:
+            job = await running_job(system)
+            system.fronts[0].begin_stop(0.5)
+            assert (await job)[0] == 504
+            await system.kill('f0')
+            await asyncio.sleep(RESUBMISSION_DELAY_S)
+            assert (await system.submit(JOB, body(2), 9000, front=1))[0] == 200
+            assert not overlapping_runs(system.history())
+
+
 class TestFrontsThatActLate:
     """Guards against a front that acts for a job that it has lost."""
 
