Do not refuse a job as not run that has run at a stopping front

A front that stops refuses jobs that cannot end in time with 503, which says that they never run. It did so also for a job that had run there before its answer was lost, and for one that was running. It answers 504 for the former now, and lets a second request for the latter wait for the same answer.

--- a/src/limpetlanding/platform/ingress.py
+++ b/src/limpetlanding/platform/ingress.py
@@ -89,11 +89,9 @@
             'refused: {}', error.detail
         )
         return _service_unavailable(error.detail)
-    if not front.can_finish(job, queue, wait_s):
-        logger.bind(request_id=job_id, step='submit').info(
-            'refused: the front stops'
-        )
-        return _service_unavailable('the front stops')
+    is_active = job_id in front.dispatcher.jobs
+    if not is_active and not front.can_finish(job, queue, wait_s):
+        return _refused_by_stop(front, job_id)
     try:
         state = await front.dispatcher.submit(
             job, queue, wait_s, catalog.version
@@ -105,6 +103,16 @@
     return _json_response(200, state=state.value)
 
 
+def _refused_by_stop(front: Front, job_id: str) -> web.Response:
+    logger.bind(request_id=job_id, step='submit').info(
+        'refused: the front stops'
+    )
+    earlier = front.dispatcher.ended_jobs.get(job_id)
+    if earlier is not None and earlier.has_run:
+        return _json_response(504, error='the front stops')
+    return _service_unavailable('the front stops')
+
+
 def _client_wait_s(request: web.Request) -> float:
     value = request.headers.get(_DEADLINE_HEADER)
     if value is None:
--- a/src/limpetlanding/platform/tests/test_lost_answers.py
+++ b/src/limpetlanding/platform/tests/test_lost_answers.py
@@ -8,6 +8,13 @@
 from limpetlanding.standin.platform_checks import overlapping_runs
 
 JOB = '5c0e7a21d94b36f8'
+OTHER = '5c0e7a21d94b36f9'
+
+
+def slow(system, work_s):
+    """Let all tasks take `work_s` seconds."""
+    for executor in system.executors:
+        executor.work_s = lambda _: work_s
 
 
 async def lose_answer(system, front=0):
@@ -27,13 +34,36 @@
     await asyncio.sleep(1.3)
 
 
+class TestStoppingFront:
+    """Guards against a job that is refused as not run by a stopping front."""
+
+    async def test_job_that_ran_there_is_not_refused_as_not_run(self):
+        async with System().run() as system:
+            slow(system, 5)
+            await lose_answer(system)
+            system.fronts[0].begin_stop(1)
+            long = body(2, estimateMs=2000)
+            assert (await system.submit(JOB, long, 9000))[0] == 504
+            assert (await system.submit(OTHER, long, 9000))[0] == 503
+
+    async def test_job_that_runs_there_is_joined(self):
+        async with System().run() as system:
+            slow(system, 0.9)
+            long = body(2, estimateMs=2000)
+            first = asyncio.create_task(system.submit(JOB, long, 9000))
+            await asyncio.sleep(0.2)
+            system.fronts[0].begin_stop(1)
+            assert (await system.submit(JOB, long, 9000))[0] == 200
+            assert (await first)[0] == 200
+            assert len(system.history()) == 2
+
+
 class TestOtherFront:
     """Guards against wrong answers and runs at the front that is asked next."""
 
     async def test_runs_of_a_job_sent_to_another_front_do_not_overlap(self):
         async with System(front_count=2).run() as system:
-            for executor in system.executors:
-                executor.work_s = lambda _: 2
+            slow(system, 2)
             await lose_answer(system)
             await asyncio.sleep(1.3)
             assert (await system.submit(JOB, body(2), 9000, front=1))[0] == 200
@@ -47,8 +77,7 @@
         self,
     ):
         async with System(front_count=2).run() as system:
-            for executor in system.executors:
-                executor.work_s = lambda _: 5
+            slow(system, 5)
             await lose_answer(system)
             await leave_all(system)
             assert (await system.submit(JOB, body(2), 900, front=1))[0] == 504
@@ -59,8 +88,7 @@
     )
     async def test_runs_do_not_overlap_if_the_close_does_not_arrive(self):
         async with System(front_count=2).run() as system:
-            for executor in system.executors:
-                executor.work_s = lambda _: 3
+            slow(system, 3)
             # The first front is cut off from its client, which has given up.
             first = asyncio.create_task(system.submit(JOB, body(2), 9000))
             await asyncio.sleep(1.5)
