Add a test of late stops of a job that is sent again

An executor that answers inventories but carries out stops seconds later keeps the runs of a client that has left: the worker renews their lease while it waits for the stops.

--- a/src/limpetlanding/platform/tests/test_lost_answers.py
+++ b/src/limpetlanding/platform/tests/test_lost_answers.py
@@ -34,6 +34,27 @@
     await asyncio.sleep(1.3)
 
 
+class TestLateStops:
+    """Guards against second runs while an executor delays the stops."""
+
+    @pytest.mark.xfail(
+        strict=True,
+        reason='KNOWN-RED: the lease of a run whose stop is late is renewed',
+    )
+    @pytest.mark.parametrize('front', [0, 1])
+    async def test_job_that_is_sent_again_does_not_overlap(self, front):
+        async with System(front_count=2).run() as system:
+            slow(system, 10)
+            await lose_answer(system)
+            for executor in system.executors:
+                if executor.runs:
+                    executor.faults.late_orders_s = 4
+            await asyncio.sleep(1.3)
+            slow(system, 1)
+            await system.submit(JOB, body(2), 9000, front)
+            assert not overlapping_runs(system.history())
+
+
 class TestStoppingFront:
     """Guards against a job that is refused as not run by a stopping front."""
 
