Ignore unknown fields in the configuration of a peer

The links between processes ignore fields that a newer build appends, but the configuration is sent as JSON, and an unknown field in it raised a TypeError. The handler failed, and a worker, which learns the configuration only from fronts, would have kept an old one during an update.

test_fields_of_a_newer_build_are_ignored failed before (unexpected keyword argument 'weight'). Updates that cannot be decoded leave the configuration as it is (passed before).

--- a/src/limpetlanding/runs/catalog.py
+++ b/src/limpetlanding/runs/catalog.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections import defaultdict
 from collections.abc import Callable
+from typing import Any
 
 import orjson
 from loguru import logger
@@ -102,6 +103,12 @@
     >>> decode_catalog(holder.update_message()) == holder.catalog
     True
     """
-    fields = orjson.loads(update.body)
-    queues = [Queue(**queue) for queue in fields.pop('queues')]
-    return Catalog(queues=queues, **fields)
+    fields = _known_fields(Catalog, orjson.loads(update.body))
+    queues = [Queue(**_known_fields(Queue, x)) for x in fields['queues']]
+    return Catalog(**fields | {'queues': queues})
+
+
+def _known_fields(kind: type, values: dict[str, Any]) -> dict[str, Any]:
+    # A peer of a newer build may send further fields.
+    names = {spec.name for spec in dataclasses.fields(kind)}
+    return {name: values[name] for name in names & values.keys()}
--- a/src/limpetlanding/runs/tests/test_catalog.py
+++ b/src/limpetlanding/runs/tests/test_catalog.py
@@ -1,7 +1,13 @@
 """The configuration in force, and the queue of a request."""
 
+from contextlib import suppress
+
+import orjson
+import pytest
+
 from limpetlanding.runs.catalog import CatalogHolder
 from limpetlanding.runs.model import Catalog, Queue
+from limpetlanding.wire.run_messages import CatalogUpdate
 
 HOST = 'desk.example'
 
@@ -41,3 +47,28 @@
         others = [queue(f'q{n}', f'/{n}/', f'h{n}.example') for n in range(999)]
         holder = holder_of(queue('own', '/a/'), *others)
         assert holder.queues[HOST] == [queue('own', '/a/')]
+
+
+class TestUpdate:
+    """Guards against a configuration that peers of two builds do not share."""
+
+    def test_fields_of_a_newer_build_are_ignored(self):
+        sender = holder_of(queue('own', '/a/'))
+        fields = orjson.loads(sender.update_message().body)
+        fields['regions'] = ['r']
+        fields['queues'][0]['weight'] = 2
+        receiver = CatalogHolder(lambda _: None)
+        receiver.apply_update(CatalogUpdate(1, orjson.dumps(fields)), 'peer')
+        assert receiver.catalog == sender.catalog
+
+    @pytest.mark.parametrize(
+        'body', [b'', b'7', b'{}', b'{"queues": 7}', b'{"queues": [{}]}']
+    )
+    def test_malformed_update_leaves_the_configuration(self, body):
+        holder = holder_of(queue('own', '/a/'))
+        before = holder.catalog
+        # The channel logs the error of a handler, whichever it is.
+        with suppress(Exception):
+            holder.apply_update(CatalogUpdate(9, body), 'peer')
+        assert holder.catalog is before
+        assert holder.find(HOST, '/a/1').name == 'own'
