--- a/src/limpetlanding/platform/records.py
+++ b/src/limpetlanding/platform/records.py
@@ -129,6 +129,8 @@
         if room
         else None,
         optional_field(fields, 'failure_domain', str, '', step),
+        optional_field(fields, 'executor', str, '', step),
+        optional_field(fields, 'draining', bool, False, step),
     )
 
 
--- a/src/limpetlanding/platform/store.py
+++ b/src/limpetlanding/platform/store.py
@@ -72,6 +72,8 @@
                 'address': record.address,
                 'capacity': record.capacity and asdict(record.capacity),
                 'failure_domain': record.failure_domain,
+                'executor': record.executor,
+                'draining': record.draining,
             }
         )
         await self._call(
--- a/src/limpetlanding/platform/tests/rig.py
+++ b/src/limpetlanding/platform/tests/rig.py
@@ -74,8 +74,11 @@
         await asyncio.wait([task])
 
 
-def new_node(role, name, number, incarnation=1, **streams):
-    """Return a node whose link port follows from its number."""
+def new_node(role, name, number, incarnation=1, clock=None, **streams):
+    """Return a node whose link port follows from its number.
+
+    `clock` is the clock that advances while the process is suspended.
+    """
     hello = Hello(
         PROTOCOL_VERSION,
         role,
@@ -86,7 +89,7 @@
         '',
         loss_reports=True,
     )
-    options = NodeOptions(timing=LINK_TIMING, rng=Random(1))
+    options = NodeOptions(timing=LINK_TIMING, rng=Random(1), clock=clock)
     return Node(hello, None, options, **streams)
 
 
@@ -110,11 +113,14 @@
         self.store = StandinStore()
         self.fronts = []
         self.workers = []
+        self.registrations = []
         self.executors = []
         self.stacks = {}
         self.heartbeats = []
         self.crash_count = 0
         self.session = None
+        # Time in seconds for which the machines of the fronts were suspended.
+        self.suspended_s = 0
 
     @asynccontextmanager
     async def run(self) -> AsyncIterator['System']:
@@ -138,7 +144,18 @@
 
     def new_node(self, role, name, number, incarnation):
         """Return the node of a front or worker."""
-        return new_node(role, name, number, incarnation)
+        loop = asyncio.get_running_loop()
+
+        def clock():
+            return loop.time() + self.suspended_s
+
+        return new_node(
+            role,
+            name,
+            number,
+            incarnation,
+            clock if role == 'front' else None,
+        )
 
     def executor_address(self, number):
         """Return the address at which a worker calls its executor."""
@@ -204,6 +221,7 @@
         store = LogStore(f'127.0.0.1:{STORE_PORT}')
         stack.push_async_callback(store.close)
         registration = Registration(worker, store, port, 'desk', Random(3))
+        self.registrations[number : number + 1] = [registration]
         await stack.enter_async_context(running(registration.run()))
         self.stacks[f'w{number}'] = stack
         self.workers[number : number + 1] = [worker]
--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -194,7 +194,10 @@
     def _handle_job_cancelled(
         self, channel: Channel, message: JobCancelled
     ) -> None:
-        self._cancel(message.job_id, channel.peer.node)
+        job_id = message.job_id
+        dispatcher = self.dispatcher
+        if job_id in dispatcher.jobs or job_id not in dispatcher.cancelled:
+            self._cancel(job_id, channel.peer.node)
 
     def _handle_loss(self, channel: Channel, message: ExecutorLost) -> None:
         received = received_loss(message)
@@ -221,7 +224,9 @@
         for record in records:
             previous = self.recorded.get(record.name, record.address)
             self.recorded[record.name] = record.address
-            if previous != record.address:
+            has_moved = previous != record.address
+            # Another worker may have taken over the former address.
+            if has_moved and previous not in self.recorded.values():
                 self.subset.forget(previous)
             self._add_worker(record.address, record.failure_domain)
 
@@ -294,6 +299,9 @@
             channel.notify(
                 _known_workers(list(self.subset.candidates.values()))
             )
+            # The peer may have started after these cancellations.
+            for job_id in sorted(self.dispatcher.cancelled):
+                channel.notify(JobCancelled(job_id))
             return
         channel.has_work = lambda: self.dispatcher.has_runs_at(channel)
         self.dispatcher.worker_connected(channel)
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -14,7 +14,7 @@
 
 from loguru import logger
 
-from limpetlanding.runs.background import BackgroundTasks
+from limpetlanding.runs.background import BackgroundTasks, errors_logged
 from limpetlanding.runs.executor_clock import ExecutorClock
 from limpetlanding.runs.executor_losses import ExecutorLosses
 from limpetlanding.runs.health import ExecutorHealth
@@ -228,6 +228,11 @@
         known = self.executor
         if known is not None and known.executor_id == executor_id:
             self.losses.end_silence(known.incarnation, self.loop.time())
+            if not self.runs:
+                self._end_incarnation(
+                    'it has left', Evidence.LEASE, crashed=False
+                )
+                return
             self._update(known, replace(known, draining=True))
             self.departing = True
             self.wake.set()
@@ -422,7 +427,10 @@
             if is_idle and self.acknowledged == self.acknowledged_by_executor:
                 await self._wait_while_idle()
             if self._is_current(generation):
-                await self._take_inventory(generation)
+                with errors_logged('look'):
+                    await self._take_inventory(generation)
+                    continue
+                await asyncio.sleep(RETRY_PAUSE_S)
 
     async def _wait_while_idle(self) -> None:
         self.wake.clear()
--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from limpetlanding.errors import LimpetlandingError
-from limpetlanding.runs.background import BackgroundTasks
+from limpetlanding.runs.background import BackgroundTasks, errors_logged
 from limpetlanding.runs.catalog import CatalogHolder
 from limpetlanding.runs.loss_reports import send_known_losses, send_loss
 from limpetlanding.runs.losses import ExecutorLoss, LossLedger
@@ -92,7 +92,8 @@
         self.supervisor.owners_heard_at = self._owners_heard_at
         self.catalogs = CatalogHolder(self._broadcast_catalog)
         self.queued_outcomes: dict[str, list[RunOutcome]] = defaultdict(list)
-        self.blocked_starts: dict[str, float] = {}
+        # By owner and key of the run.
+        self.blocked_starts: dict[tuple[str, str], float] = {}
         self.ended_runs: dict[tuple[str, str], None] = {}
         self.report_scheduled = False
         self.report_timer: asyncio.TimerHandle | None = None
@@ -139,8 +140,9 @@
         """Report to the fronts, and keep links to some, until cancelled."""
         while True:
             await asyncio.sleep(REPORT_INTERVAL_S)
-            self._schedule_report()
-            self.seed_links.update()
+            with errors_logged('report'):
+                self._schedule_report()
+                self.seed_links.update()
 
     async def drain(self, limit_s: float) -> None:
         """Refuse new runs, and wait for those that are active.
@@ -204,7 +206,7 @@
                 # The order was repeated because the first reply was lost.
                 taken.append(order.task)
                 continue
-            refusal = self._refusal(message, order)
+            refusal = self._refusal(owner, message, order)
             if refusal:
                 reason = refusal
             else:
@@ -231,11 +233,11 @@
             return held.owner == owner
         return (owner, run_key(order.task, order.run)) in self.ended_runs
 
-    def _refusal(self, message: StartRuns, order: RunOrder) -> str:
+    def _refusal(self, owner: str, message: StartRuns, order: RunOrder) -> str:
         executor = self.supervisor.executor
         if executor is not None and executor.pool != message.pool:
             return 'another pool'
-        if run_key(order.task, order.run) in self.blocked_starts:
+        if (owner, run_key(order.task, order.run)) in self.blocked_starts:
             return 'stopped before'
         if any(
             held.task == order.task for held in self.supervisor.runs.values()
@@ -248,10 +250,7 @@
         )
 
     def _stop(self, channel: Channel, message: StopRuns) -> None:
-        held_runs = {
-            run_key(held.task, held.run): held
-            for held in self.supervisor.runs.values()
-        }
+        held_runs = self._runs_of(channel)
         for key in held_runs.keys() & set(message.runs):
             self.supervisor.stop(held_runs[key])
         missing = [key for key in message.runs if key not in held_runs]
@@ -263,13 +262,16 @@
             missing=len(missing),
         ).info('runs stopped: {}', message.reason)
 
-    def _reconcile(self, channel: Channel, message: ExpectedRuns) -> None:
-        owner = channel.peer.incarnation
-        here = {
+    def _runs_of(self, channel: Channel) -> dict[str, TrackedRun]:
+        # Run numbers begin at 1 at each front.
+        return {
             run_key(held.task, held.run): held
             for held in self.supervisor.runs.values()
-            if held.owner == owner
+            if held.owner == channel.peer.incarnation
         }
+
+    def _reconcile(self, channel: Channel, message: ExpectedRuns) -> None:
+        here = self._runs_of(channel)
         for key in sorted(here.keys() - {*message.runs, *message.ordered}):
             self.supervisor.stop(here[key])
         missing = [key for key in message.runs if key not in here]
@@ -282,7 +284,10 @@
             key: until
             for key, until in self.blocked_starts.items()
             if until > now
-        } | dict.fromkeys(keys, now + BLOCKED_START_RETENTION_S)
+        }
+        owner = channel.peer.incarnation
+        for key in keys:
+            self.blocked_starts[owner, key] = now + BLOCKED_START_RETENTION_S
         # Outcomes that were sent earlier arrive first, on the same channel, and
         # the front ignores a second outcome of a run.
         for key in keys:
