Accept heartbeats of up to 4 MiB

Cause: the default limit of aiohttp for bodies.

Before: test_largest_heartbeat_is_acknowledged failed with 413.

--- a/src/limpetlanding/platform/control.py
+++ b/src/limpetlanding/platform/control.py
@@ -6,6 +6,9 @@
 from limpetlanding.platform.decode import Malformed, decode_executor
 from limpetlanding.runs import UnknownPool, Worker
 
+MAX_ANNOUNCEMENT_BYTES = 4 * 1024 * 1024 + 1
+"""Announcements may have 4 MiB; aiohttp refuses those that reach the limit."""
+
 
 def control_app(worker: Worker) -> web.Application:
     """Return the application that receives the executor's announcements."""
@@ -26,7 +29,7 @@
         worker.handle_departure(request.match_info['id'])
         return web.json_response({})
 
-    app = web.Application()
+    app = web.Application(client_max_size=MAX_ANNOUNCEMENT_BYTES)
     app.router.add_put('/api/instances/{id}', announce)
     app.router.add_delete('/api/instances/{id}', leave)
     return app
--- a/src/limpetlanding/platform/tests/test_odd_heartbeats.py
+++ b/src/limpetlanding/platform/tests/test_odd_heartbeats.py
@@ -139,6 +139,15 @@
             await system.settle()
             assert (await system.submit(f'{7:016x}'))[0] == 200
 
+    async def test_largest_heartbeat_is_acknowledged(self):
+        # Guards against a long heartbeat that is refused for its length.
+        async with System(worker_count=1).run() as system:
+            content = heartbeat(version='')
+            filler = 'v' * (4 * 1024 * 1024 - len(content))
+            content = heartbeat(version=filler, born=1000)
+            assert len(content) == 4 * 1024 * 1024
+            assert await send(system, 'i-0', content) == 200
+
     @pytest.mark.parametrize('executor_id', IDS)
     async def test_first_heartbeat_with_an_odd_id(self, executor_id):
         # Guards against calls that fail because a header cannot hold the id.
