--- a/src/limpetlanding/platform/tests/faulty_system.py
+++ b/src/limpetlanding/platform/tests/faulty_system.py
@@ -10,6 +10,7 @@
     System,
     new_node,
 )
+from limpetlanding.scenarios.tests.processes import process_context
 from limpetlanding.wire.tests.faulty_network import Direction, FaultyNetwork
 
 PATH_PORT = 7600
@@ -37,7 +38,7 @@
         self.executor_port = executor_port
         self.server = None
         self.directions = []
-        self.writers = set()
+        self.writers = []
 
     @asynccontextmanager
     async def run(self):
@@ -61,7 +62,7 @@
 
     def reset(self):
         """Break all open connections."""
-        for writer in self.writers:
+        for writer in list(self.writers):
             writer.transport.abort()
 
     def silence(self):
@@ -77,8 +78,7 @@
         except OSError:
             writer.transport.abort()
             return
-        writers = {writer, executor_writer}
-        self.writers |= writers
+        self.writers += [writer, executor_writer]
         directions = [Direction(), Direction()]
         self.directions += directions
         with suppress(OSError):
@@ -86,13 +86,15 @@
                 directions[0].pump(reader, executor_writer),
                 directions[1].pump(executor_reader, writer),
             )
-        self.writers -= writers
+        self.writers.remove(writer)
+        self.writers.remove(executor_writer)
 
 
 class FaultySystem(System):
     """A system with a faulty network between fronts and workers.
 
-    Each worker calls its executor through an `ExecutorPath`. Links are found by
+    On a `ProcessLoop`, fronts and workers can be paused by their names. Each
+    worker calls its executor through an `ExecutorPath`. Links are found by
     the names of the two processes.
     """
 
@@ -125,15 +127,24 @@
 
         async def connect(host, port, **options):
             source = f'127.0.0.1:{LINK_PORT + number}'
-            return await self.network.connect(host, port, source, **options)
+            # Data in transit is not delayed by a paused process.
+            return await asyncio.create_task(
+                self.network.connect(host, port, source, **options),
+                context=process_context(''),
+            )
+
+        async def serve(accept, host, port, **options):
+            async def accept_in_process(*streams):
+                await asyncio.create_task(
+                    accept(*streams), context=process_context(name)
+                )
+
+            return await self.network.serve(
+                accept_in_process, host, port, **options
+            )
 
         return new_node(
-            role,
-            name,
-            number,
-            incarnation,
-            connect=connect,
-            serve=self.network.serve,
+            role, name, number, incarnation, connect=connect, serve=serve
         )
 
     def executor_address(self, number):
@@ -144,8 +155,9 @@
         """Start an executor, its heartbeats and the path to it."""
         path = ExecutorPath(PATH_PORT + number, EXECUTOR_PORT + number)
         self.paths.append(path)
-        await stack.enter_async_context(path.run())
         await super().start_executor(stack, number)
+        # Closed first; otherwise the executor waits for its open calls.
+        await stack.enter_async_context(path.run())
 
     async def announce(self, number, fields):
         """Send one heartbeat; return the status, or None without an answer."""
@@ -155,10 +167,20 @@
 
     async def start_worker(self, number, incarnation=1):
         """Start a worker whose settings name the fronts as seeds."""
-        await super().start_worker(number, incarnation)
+        await asyncio.create_task(
+            super().start_worker(number, incarnation),
+            context=process_context(f'w{number}'),
+        )
         fronts = [link_address(f'f{x}') for x in range(self.front_count)]
         self.workers[number].seed_links.add(fronts)
 
+    async def start_front(self, number, incarnation=1):
+        """Start a front as a process."""
+        await asyncio.create_task(
+            super().start_front(number, incarnation),
+            context=process_context(f'f{number}'),
+        )
+
     def links_between(self, name, peer):
         """Return the connections between a front and a worker."""
         return self.network.connections_between(
--- a/src/limpetlanding/platform/tests/test_overlapping_runs.py
+++ b/src/limpetlanding/platform/tests/test_overlapping_runs.py
@@ -7,6 +7,7 @@
 
 from limpetlanding.platform.tests.faulty_system import FaultySystem
 from limpetlanding.platform.tests.rig import body
+from limpetlanding.scenarios.tests.processes import ProcessLoop
 from limpetlanding.standin.platform_checks import overlapping_runs
 
 JOB = '5c0e7a21d94b36f8'
@@ -20,6 +21,8 @@
 ANSWER_S = 4
 OK = 200
 CLOCK_STEP_MS = 500
+RESUBMIT_DELAY_S = 1.3
+FILLING_WORK_S = 1.5
 # The task starts elsewhere 0.4 s after a start without an answer.
 RESTART_S = 0.7
 LATE_START_S = 1.2
@@ -207,6 +210,42 @@
             assert len(system.history()) == reported_ends(system) == 1
 
 
+class TestPausedFront:
+    """Guards against starts for a client that has left during a pause."""
+
+    @known_red('order is sent after its job has ended')
+    def test_client_that_left_while_its_front_was_paused(self):
+        loop = ProcessLoop()
+        asyncio.set_event_loop(loop)
+        try:
+            loop.run_until_complete(self.play())
+        finally:
+            loop.close()
+
+    async def play(self):
+        async with FaultySystem(front_count=2).run() as system:
+            loop = asyncio.get_running_loop()
+            for executor in system.executors:
+                executor.work_s = lambda task: (
+                    SLOW_WORK_S if JOB in task else FILLING_WORK_S
+                )
+            loop.pause('f0')
+            # The second submission finds no room where the first one does.
+            filling = asyncio.create_task(
+                system.submit('f' * 16, body(1, cpu=30_000), WAIT_MS, front=1)
+            )
+            first = submit(system)
+            await asyncio.sleep(START_S)
+            first.cancel()
+            await asyncio.sleep(RESUBMIT_DELAY_S)
+            second = submit(system, front=1)
+            await filling
+            loop.resume('f0')
+            assert await second == (OK, {'state': 'completed'})
+            await system.settle(1)
+            assert not overlapping_runs(system.history())
+
+
 class TestLateStart:
     """Guards against starts that a later life of an executor carries out."""
 
--- a/src/limpetlanding/wire/tests/faulty_network.py
+++ b/src/limpetlanding/wire/tests/faulty_network.py
@@ -109,7 +109,7 @@
     def __init__(self):
         self.listeners = {}
         self.connections = []
-        # Addresses, and pairs of source and address.
+        # Both hold addresses, and pairs of source and address.
         self.refused = set()
         self.unreachable = set()
         self.paused = {}
@@ -122,10 +122,10 @@
         if source in self.paused:
             await self.paused[source].wait()
         self.attempts[address] += 1
-        if address in self.unreachable:
+        names = {address, (source, address)}
+        if self.unreachable & names:
             await asyncio.Event().wait()
-        is_refused = self.refused & {address, (source, address)}
-        if is_refused or address not in self.listeners:
+        if self.refused & names or address not in self.listeners:
             raise ConnectionRefusedError(address)
         connection = Connection(
             address,
