--- a/src/limpetlanding/wire/tests/test_review_slow_process.py
+++ b/src/limpetlanding/wire/tests/test_review_slow_process.py
@@ -30,6 +30,17 @@
     )
 
 
+async def stop(network, nodes):
+    for node in nodes:
+        await node.stop(drain=False)
+    for connection in network.connections:
+        connection.reset()
+        for writer in connection.writers:
+            writer.close()
+    # Lets the closed transports finish before the loop is closed.
+    await asyncio.sleep(0.01)
+
+
 class LateLink:
     """Runs each `_tick` of a link late, as in a slow process."""
 
@@ -67,8 +78,7 @@
         async with asyncio.timeout(10):
             await down.wait()
         detection_s = loop.time() - lost_at
-        for node in nodes:
-            await node.stop(drain=False)
+        await stop(network, nodes)
         assert detection_s <= MAX_DETECTION_S, detection_s
 
 
@@ -105,6 +115,5 @@
         async with asyncio.timeout(10):
             await down.wait()
         detection_s = loop.time() - lost_at
-        for node in nodes:
-            await node.stop(drain=False)
+        await stop(network, nodes)
         assert detection_s <= MAX_DETECTION_S, detection_s
