Notice lost peers in time on half-open, idle and slow links

A review of the incident of two runs of one task found three ways in which a worker may notice the loss of a front later than the front assumes, while it renews the lease of the runs:

- Each end counts a link as up once it has read the hello of the other; nothing shows that its own hello has arrived.
If only one direction works, each dial of the front cleared the loss at the worker (run 1 from 2.5 to 8.5 s, run 2 from 5.2 s).
A loss now lasts until a frame after the hello is read.
- A process that was late did not count its own lateness as silence, each time anew: with ticks late by 0.25 s the loss was noticed after 1.75 s.
A link now gets the time of one heartbeat, once after each frame.
- A request ended the slow heartbeats of its own link only; on a second link the loss was noticed after 2.15 s.
It now ends them on all links of the channel.

The tests of slow processes and two links failed before.

--- a/src/limpetlanding/wire/channel.py
+++ b/src/limpetlanding/wire/channel.py
@@ -108,7 +108,10 @@
         self.stopping = False
         self.unlinked = asyncio.Event()
         self.lifecycle = Lifecycle(PeerState, peer.node)
+        # When the last link was lost; None once the peer is heard on another.
+        # A link whose hello has not reached the peer is open at this end only.
         self.link_lost_at: float | None = None
+        self.on_heard_again: Callable[[Channel], None] = _ignore
         # When the last frame of the peer was read. Unlike the silence of a
         # link, this also counts the time in which this process was late.
         self.heard_at = self.loop.time()
@@ -193,7 +196,6 @@
         """Add a link and send the requests that are waiting for one."""
         self.links.append(link)
         self.released = False
-        self.link_lost_at = None
         self.unlinked.clear()
         link.on_writable = self._send_unsent_requests
         link.is_idle = lambda: self.is_idle
@@ -211,13 +213,19 @@
             self._send_unsent_requests()
         else:
             self.unlinked.set()
-            self.link_lost_at = self.loop.time()
+            if self.link_lost_at is None:
+                self.link_lost_at = self.loop.time()
 
     def receive(self, link: Link, frame: Frame) -> None:
         """Handle one frame that arrived on `link`."""
         self.heard_at = self.loop.time()
         if self.closed.is_set():
             return
+        if self.link_lost_at is not None and link in self.links:
+            self.link_lost_at = None
+            self.on_heard_again(self)
+        if frame.kind != FrameKind.NOTIFY:
+            self.end_slowdown()
         if frame.kind == FrameKind.REPLY:
             self._receive_reply(frame)
         elif frame.kind == FrameKind.REQUEST:
@@ -229,6 +237,11 @@
         else:
             self._receive_notification(frame)
 
+    def end_slowdown(self) -> None:
+        """Return to the usual heartbeats on all links."""
+        for link in self.links:
+            link.end_slowdown()
+
     def fail(self, detail: str) -> None:
         """Close the channel; every unanswered request raises `PeerLost`."""
         if self.closed.is_set():
@@ -249,6 +262,7 @@
         message = _with_time_left(
             pending.message, self.loop.time() - pending.created_at
         )
+        self.end_slowdown()
         for link in reversed(self.links):
             if link.send(FrameKind.REQUEST, number, message):
                 if pending.sent:
@@ -369,6 +383,10 @@
         )
 
 
+def _ignore(_channel: Channel) -> None:
+    """Do nothing; used until the owner has set its callback."""
+
+
 def _no_work() -> bool:
     """Return False; used until the owner has set its condition."""
     return False
--- a/src/limpetlanding/wire/link.py
+++ b/src/limpetlanding/wire/link.py
@@ -86,6 +86,8 @@
         self.unsent_bytes = 0
         self.last_received = self.loop.time()
         self.last_sent = self.loop.time()
+        # The last value of `last_received` that `_allow_for_lateness` has set.
+        self.last_allowance: float | None = None
         self.last_digest: int | None = None
         self.last_digest_sent = self.loop.time()
         self.tick_due = self.loop.time()
@@ -182,7 +184,7 @@
         if kind != FrameKind.REPLY and self.is_congested():
             return False
         if kind != FrameKind.NOTIFY:
-            self._end_slowdown()
+            self.end_slowdown()
         self.counters.sent.add(tag_of(message), len(frame))
         if not self.unsent:
             self.loop.call_soon(self._flush)
@@ -276,7 +278,7 @@
             for frame in self.frames.feed(chunk):
                 self.counters.received.add(frame.tag, frame.byte_count)
                 if frame.kind != FrameKind.NOTIFY:
-                    self._end_slowdown()
+                    self.end_slowdown()
                 elif isinstance(frame.message, Heartbeat):
                     # In this order NaN counts as 1.
                     announced = min(frame.message.slowdown, MAX_SLOWDOWN)
@@ -328,9 +330,7 @@
         timing = self.timing
         late_s = now - self.tick_due
         if late_s > timing.heartbeat_s / 2:
-            # This process was late itself. That time does not count as
-            # silence, because data that arrived meanwhile is not yet read.
-            self.last_received = min(now, self.last_received + late_s)
+            self._allow_for_lateness(now)
         silence_s = timing.silence_s * self.peer_slowdown
         if now - self.last_received >= silence_s:
             self.counters.events['links_silent'] += 1
@@ -344,13 +344,27 @@
         )
         self._schedule_tick(min(max(due - now, _MIN_TICK_S), heartbeat_s))
 
+    def _allow_for_lateness(self, now: float) -> None:
+        """Give the peer time to be heard after this process was late.
+
+        Data that arrived meanwhile is not yet read. The link gets a heartbeat's
+        time once after each frame, so that a process that is slow all the time
+        still notices a silent peer.
+        """
+        if self.last_received == self.last_allowance:
+            return
+        silence_s = self.timing.silence_s * self.peer_slowdown
+        earliest = now - silence_s + self.timing.heartbeat_s
+        self.last_received = max(self.last_received, earliest)
+        self.last_allowance = self.last_received
+
     def _schedule_tick(self, wait_s: float) -> None:
         if self.tick_timer is not None:
             self.tick_timer.cancel()
         self.tick_due = self.loop.time() + wait_s
         self.tick_timer = self.loop.call_later(wait_s, self._tick)
 
-    def _end_slowdown(self) -> None:
+    def end_slowdown(self) -> None:
         """Return to the usual intervals, because requests are in progress.
 
         Both ends do so with each request and reply that they send or receive.
--- a/src/limpetlanding/wire/peers.py
+++ b/src/limpetlanding/wire/peers.py
@@ -100,6 +100,7 @@
         channel = self.channels.get(key)
         if channel is None:
             channel = self.create(hello)
+            channel.on_heard_again = self._heard_again
             self.channels[key] = channel
         for address in {hello.address, dialed_address} - {''}:
             self._record_address(channel, address)
@@ -108,12 +109,16 @@
         )
         had_link = bool(channel.links)
         channel.attach(link)
+        if channel.link_lost_at is None and not had_link:
+            self._heard_again(channel)
+        return channel
+
+    def _heard_again(self, channel: Channel) -> None:
         if channel.lifecycle.transition_to(PeerState.UP):
             _log(channel, 'peer is up')
             _call(self.events.up, channel)
-        elif not had_link:
+        else:
             _call(self.events.relinked, channel)
-        return channel
 
     def link_lost(self, channel: Channel, link: Link) -> None:
         """Remove a lost link from its channel.
--- a/src/limpetlanding/wire/tests/test_review_slow_process.py
+++ b/src/limpetlanding/wire/tests/test_slow_process.py
@@ -1,4 +1,4 @@
-"""Failures found in review in the detection of silent peers."""
+"""Detection of silent peers by slow processes and idle links."""
 
 import asyncio
 
