--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -206,7 +206,13 @@
                 # The order was repeated because the first reply was lost.
                 taken.append(order.task)
                 continue
-            refusal = self._refusal(owner, message, order)
+            key = run_key(order.task, order.run)
+            is_blocked = (owner, key) in self.blocked_starts
+            refusal = (
+                'stopped before'
+                if is_blocked
+                else self._refusal(message, order)
+            )
             if refusal:
                 reason = refusal
             else:
@@ -233,12 +239,10 @@
             return held.owner == owner
         return (owner, run_key(order.task, order.run)) in self.ended_runs
 
-    def _refusal(self, owner: str, message: StartRuns, order: RunOrder) -> str:
+    def _refusal(self, message: StartRuns, order: RunOrder) -> str:
         executor = self.supervisor.executor
         if executor is not None and executor.pool != message.pool:
             return 'another pool'
-        if (owner, run_key(order.task, order.run)) in self.blocked_starts:
-            return 'stopped before'
         if any(
             held.task == order.task for held in self.supervisor.runs.values()
         ):
