Do not count a late start as prevented while its stop is not confirmed

The wait for a stop that may have been carried out without an answer also applied to runs whose start had no answer. Such a run counted as ended after two inventories without it, although its start could still be carried out until the end of its lease: with orders that are 0.87 s late, a second run began 20 ms before the first one. The wait now applies only to runs that have been confirmed before.

An announcement of another incarnation no longer acknowledges ends in the call that asks the executor: the new life numbers its ends anew.

test_start_and_stop_are_late[0.87] failed before.

--- a/src/limpetlanding/platform/tests/test_undetected_losses.py
+++ b/src/limpetlanding/platform/tests/test_undetected_losses.py
@@ -152,6 +152,25 @@
             assert not overlapping_runs(system.history()), times(system)
 
 
+class TestLateStart:
+    """Guards against a start that is carried out while its stop is late."""
+
+    @pytest.mark.parametrize('late_s', [0.6, 0.87])
+    async def test_start_and_stop_are_late(self, late_s):
+        async with FaultySystem().run() as system:
+            use_long_runs(system, 1)
+            number = 0
+            system.workers[1].supervisor.stopping = True
+            system.executors[number].faults.late_orders_s = late_s
+            job = submit(system)
+            await asyncio.sleep(START_S)
+            system.workers[1].supervisor.stopping = False
+            system.workers[1].supervisor.on_change()
+            await job
+            await system.settle(1)
+            assert not overlapping_runs(system.history()), times(system)
+
+
 class TestLinkReplacedBeforeLoss:
     """Guards against a front that waits for a run that no worker has."""
 
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -480,7 +480,7 @@
         try:
             async with asyncio.timeout(EXECUTOR_CALL_TIMEOUT_S):
                 inventory = await self.port.inventory(
-                    self.call_target(), self.acknowledged_by_executor, None, 0
+                    self.call_target(), 0, None, 0
                 )
         except (ExecutorUnavailable, FenceRejected, TimeoutError):
             # The next inventories or announcements will show it.
@@ -569,15 +569,18 @@
             if key in active:
                 self._update_progress(held, active[key], now)
             else:
-                self._handle_unlisted_run(held, sent)
+                self._handle_unlisted_run(held, sent, now)
         self._stop_unknown_runs(active.keys() - self.runs.keys())
 
-    def _handle_unlisted_run(self, held: TrackedRun, sent: float) -> None:
-        if held.stop_requested_at is not None and not held.was_unlisted:
-            # The stop may have been carried out but not yet answered.
-            held.was_unlisted = True
-            held.listed_after = self.loop.time() + self.stop_s + STOP_MARGIN_S
-        elif held.listed_after is not None and held.listed_after < sent:
+    def _handle_unlisted_run(
+        self, held: TrackedRun, sent: float, now: float
+    ) -> None:
+        if held.listed_after is not None and held.listed_after < sent:
+            if held.stop_requested_at is not None and not held.was_unlisted:
+                # The stop may have been carried out but not yet answered.
+                held.was_unlisted = True
+                held.listed_after = now + self.stop_s + STOP_MARGIN_S
+                return
             how = held.requested_end or RunEnd.LAPSED
             self._finish(held, how, Evidence.UNLISTED)
         elif self._can_never_start(held, sent):
