Start nothing before an executor has announced its capacity

Cause: a worker that restarts took the capacity from its record in the store. The record states what an earlier life of the worker knew; nothing shows that it still holds. Change: the record only tells whether the executor is the same one, so that runs of the earlier life are stopped; its capacity is unknown until it announces itself, at most 1.5 s later. Tests: test_capacity_that_shrank_while_the_worker_was_down (30,000 of 7,000 in use before) and test_nothing_is_started_before_the_capacity_is_announced failed before. They replace test_restarted_worker_keeps_to_a_capacity_that_ has_shrunk, and test_restarted_worker_clears_its_executor_before_it_is_announced replaces ..._knows_its_executor_from_the_store: both asked for starts before any announcement, which is the fault. What is recorded is still checked.

--- a/src/limpetlanding/runs/registration.py
+++ b/src/limpetlanding/runs/registration.py
@@ -1,10 +1,9 @@
 """Registers a worker in the store.
 
-Fronts find the worker by its record. A worker that has restarted takes the
-capacity of its executor from the record, because the next announcement of the
-executor may take 1.5 s. It does so only if the executor is still the one that
-announced the capacity, because another one may be smaller. Each change is
-recorded.
+Fronts find the worker by its record. A worker that has restarted looks up there
+whether its executor is still the same one. If so, it stops the runs of its earlier
+life before the next announcement, which may take 1.5 s. It starts none: the
+capacity may have changed since it was recorded.
 """
 
 import asyncio
@@ -93,7 +92,7 @@
             record = current
             await self.store.register_worker(record)
         elif record.capacity is not None and record.executor and self.pool:
-            await self._use_recorded_executor(record, record.capacity)
+            await self._use_recorded_executor(record)
         while True:
             await self.announced.wait()
             self.announced.clear()
@@ -110,9 +109,7 @@
                 await self.store.register_worker(newest)
                 record = newest
 
-    async def _use_recorded_executor(
-        self, record: WorkerRecord, capacity: Resources
-    ) -> None:
+    async def _use_recorded_executor(self, record: WorkerRecord) -> None:
         supervisor = self.worker.supervisor
         # An executor that has announced itself to this process may have left.
         while not supervisor.generation:
@@ -131,9 +128,8 @@
                 executor_id=executor_id,
                 start_time_ms=inventory.start_time_ms,
                 pool=self.pool,
-                capacity=capacity,
-                # Labels may have changed. Tasks that need a label wait for the
-                # announcement.
+                # Unknown until the announcement, like the labels.
+                capacity=Resources(),
                 labels=(),
                 draining=record.draining,
                 sequence=-1,
@@ -145,7 +141,7 @@
                 and not supervisor.generation
             ):
                 supervisor.handle_announcement(executor)
-                logger.bind(step='register', cpu=capacity.cpu).info(
+                logger.bind(step='register', peer=executor.incarnation).info(
                     'executor known from the record'
                 )
             break
