Send no start whose run has been stopped before

Cause: an accepted run whose stop was requested before its start was sent has no lease yet (0), so that an inventory took its lease for expired and freed its room. The start was sent afterwards, as _start did not look whether the run is still held. Change: _start checks that before each attempt. A run that is stopped before its start has been sent ends as 'start not sent' and is never sent; only a start that was sent can be shown by its lease to be too late. A run is found by identity, since run numbers begin at 1 at each front. Test: test_run_that_is_stopped_before_its_start_is_sent failed before.

--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -589,7 +589,11 @@
 
     def _can_never_start(self, held: TrackedRun, sent: float) -> bool:
         # The executor rejects a start whose lease has expired.
-        return held.stop_sent and self.clock.is_past(held.lease_until_ms, sent)
+        return (
+            held.stop_sent
+            and held.start_sent
+            and self.clock.is_past(held.lease_until_ms, sent)
+        )
 
     def _stop_unknown_runs(self, keys: set[tuple[str, int]]) -> None:
         if self.unknown_runs != keys:
@@ -634,7 +638,7 @@
         generation = self.generation
         for _ in range(MAX_START_ATTEMPTS):
             reply = await self._send_start(held, generation)
-            if reply is None or held.key not in self.runs:
+            if reply is None or self.runs.get(held.key) is not held:
                 return
             self.losses.record_answer(self.loop.time())
             if reply.clock_ms is not None and self._is_current(generation):
@@ -647,9 +651,14 @@
     async def _send_start(
         self, held: TrackedRun, generation: int
     ) -> StartReply | None:
+        if self.runs.get(held.key) is not held:
+            return None
+        if held.stop_sent and not held.start_sent:
+            how = held.requested_end or RunEnd.STOPPED
+            self._finish(held, how, Evidence.NOT_SENT)
+            return None
         if not self._is_current(generation):
-            if held.key in self.runs:
-                self.stop(held, RunEnd.REFUSED)
+            self.stop(held, RunEnd.REFUSED)
             return None
         if self.now() - held.ordered_at > MAX_ORDER_AGE_S:
             logger.bind(
@@ -659,6 +668,7 @@
             self.stop(held, RunEnd.REFUSED)
             return None
         held.lease_until_ms = self._new_lease_end_ms()
+        held.start_sent = True
         order = StartOrder(
             held.task,
             held.run,
@@ -754,8 +764,9 @@
         evidence: Evidence,
         suspect: bool = False,
     ) -> None:
-        if self.runs.pop(held.key, None) is None:
+        if self.runs.get(held.key) is not held:
             return
+        self.runs.pop(held.key)
         if not self.runs:
             self.no_runs_left.set()
         now = self.loop.time()
--- /dev/null
+++ b/src/limpetlanding/runs/tests/test_supervisor.py
@@ -0,0 +1,118 @@
+"""Tests of the room of an executor, with answers that the test controls."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from limpetlanding.runs.model import Resources
+from limpetlanding.runs.ports import Executor, Inventory, StartReply
+from limpetlanding.runs.supervisor import RunSupervisor
+from limpetlanding.runs.tracked_run import TrackedRun
+
+CPU = 8000
+START_TIME_MS = 1_000
+CLOCK_MS = 5_000
+
+
+class ControlledPort:
+    """Calls to an executor that the test answers.
+
+    Attributes
+    ----------
+    starts : list of StartOrder
+        Starts that were sent.
+    targets : list of CallTarget
+        Executor and token of each start.
+    stops : list of tuple
+        Task and number of each run whose stop was sent.
+    inventories : list of asyncio.Future
+        Inventories that wait for their answer.
+    """
+
+    is_local = True
+
+    def __init__(self):
+        self.starts = []
+        self.targets = []
+        self.stops = []
+        self.inventories = []
+
+    async def start(self, to, order):
+        self.targets.append(to)
+        self.starts.append(order)
+        return await self.answer_start(len(self.starts))
+
+    async def answer_start(self, _number):
+        return StartReply(CLOCK_MS)
+
+    async def stop(self, _to, task, run):
+        self.stops.append((task, run))
+        await asyncio.sleep(3600)
+
+    async def inventory(self, *_):
+        answer = asyncio.get_running_loop().create_future()
+        self.inventories.append(answer)
+        return await answer
+
+
+def executor(number=1, cpu=CPU, sequence=1):
+    """Return an announcement of an executor."""
+    return Executor(
+        f'i-{number}',
+        START_TIME_MS,
+        'desk',
+        Resources(cpu),
+        (),
+        False,
+        sequence,
+    )
+
+
+def inventory(active=(), ended=()):
+    """Return an answer of the executor."""
+    return Inventory(CLOCK_MS, START_TIME_MS, list(active), list(ended))
+
+
+def tracked_run(task='a.0.0.0', cpu=CPU):
+    """Return a run that has just been ordered."""
+    now = asyncio.get_running_loop().time()
+    return TrackedRun('f0-1', 'a', task, 1, Resources(cpu), ordered_at=now)
+
+
+@asynccontextmanager
+async def supervised():
+    """Yield a supervisor whose executor has answered once, port and ends."""
+    port = ControlledPort()
+    ends = []
+    supervisor = RunSupervisor(port, ends.append, lambda: None)
+    supervisor.handle_announcement(executor())
+    await asyncio.sleep(0.01)
+    port.inventories.pop().set_result(inventory())
+    await asyncio.sleep(0.01)
+    assert not supervisor.refusal_reason(Resources(CPU))
+    try:
+        yield supervisor, port, ends
+    finally:
+        await supervisor.close()
+
+
+async def next_inventory(supervisor, port):
+    """Return the inventory that the supervisor waits for."""
+    supervisor.wake.set()
+    await asyncio.sleep(0.01)
+    return port.inventories.pop()
+
+
+class TestUnsentStart:
+    """Guards against starts that are sent after their room was freed."""
+
+    async def test_run_that_is_stopped_before_its_start_is_sent(self):
+        async with supervised() as (supervisor, port, ends):
+            answer = await next_inventory(supervisor, port)
+            answer.set_result(inventory())
+            held = tracked_run()
+            # The answer is read before the start and the stop are sent.
+            supervisor.start(held)
+            supervisor.stop(held)
+            await asyncio.sleep(0.1)
+            assert len(ends) == 1
+            assert not port.starts
--- a/src/limpetlanding/runs/tracked_run.py
+++ b/src/limpetlanding/runs/tracked_run.py
@@ -17,6 +17,8 @@
     UNLISTED = 'not listed'
     # The executor has refused its start.
     START_REFUSED = 'start refused'
+    # Its start was not sent.
+    NOT_SENT = 'start not sent'
     # No connection could be opened to send its start.
     UNDELIVERED = 'start not delivered'
     # Its lease has expired on the slowest clock.
@@ -60,6 +62,7 @@
     checkpoint: str = ''
     estimate_ms: float = 0
     ordered_at: float = inf
+    start_sent: bool = False
     started: bool = False
     # An inventory that is requested after this time lists the run unless it has
     # ended or can never start.
