Decide in one place whether the room of an executor is free

Class of fault: room was freed or granted without proof that an earlier start can come no more, in several places of RunSupervisor. Change: Room (runs/room.py) owns runs, leases, fencing tokens and unknown runs of one executor, and makes no calls. A start without an answer raises the fencing token: neither this life of the executor nor, once it has been called, its next one under the same id carries the start out. No start is sent before the current life has answered an inventory with a token above all earlier starts, nor while the last inventory is unanswered. After a start without an answer the executor is watched for 15 s, so that its restart is noticed at once. A start is checked again before each attempt: still held, same executor, no capacity exceeded. The margin of a stop holds in each order of answers: reply to the start after that to the stop, stop confirmed after the lease, stop carried out and not answered. A late announcement of the next incarnation with a lower sequence number is ignored.

--- a/src/limpetlanding/platform/executor.py
+++ b/src/limpetlanding/platform/executor.py
@@ -149,18 +149,34 @@
 
     async def _call(
         self, name: str, to: CallTarget, body: dict[str, Any]
+    ) -> tuple[int, bytes]:
+        status, content = await self._post(
+            name, to.executor_id, body | {'fencingToken': to.fence}
+        )
+        if status == _MISDIRECTED:
+            raise ExecutorReplaced(
+                'another executor is at the address',
+                step=name,
+                peer=self.address,
+            )
+        if status == _CONFLICT:
+            _raise_if_fenced(content, name, self.address)
+        return status, content
+
+    async def _post(
+        self, name: str, executor_id: str, body: dict[str, Any]
     ) -> tuple[int, bytes]:
         headers = {
-            _EXPECTED_ID_HEADER: to.executor_id,
+            _EXPECTED_ID_HEADER: executor_id,
             'Content-Type': 'application/json',
         }
         try:
             async with self.session.post(
                 f'http://{self.address}/api/{name}',
-                data=orjson.dumps(body | {'fencingToken': to.fence}),
+                data=orjson.dumps(body),
                 headers=headers,
             ) as response:
-                content = await response.read()
+                return response.status, await response.read()
         except (aiohttp.ClientError, OSError) as error:
             # aiohttp raises one type of error for all failed connects.
             cause = getattr(error, 'os_error', error)
@@ -168,15 +184,6 @@
             raise (ExecutorDown if is_down else ExecutorUnavailable)(
                 repr(error), step=name, peer=self.address
             ) from error
-        if response.status == _MISDIRECTED:
-            raise ExecutorReplaced(
-                'another executor is at the address',
-                step=name,
-                peer=self.address,
-            )
-        if response.status == _CONFLICT:
-            _raise_if_fenced(content, name, self.address)
-        return response.status, content
 
 
 def _raise_if_fenced(content: bytes, name: str, address: str) -> None:
--- a/src/limpetlanding/platform/tests/test_overlapping_runs.py
+++ b/src/limpetlanding/platform/tests/test_overlapping_runs.py
@@ -43,11 +43,6 @@
     return asyncio.create_task(system.submit(JOB, content, WAIT_MS, **changes))
 
 
-def known_red(cause):
-    """Mark a test that fails because of a fault that is not yet fixed."""
-    return pytest.mark.xfail(strict=True, reason=f'KNOWN-RED {cause}')
-
-
 def wrong_fields(names):
     """Return changes that omit each field, or give it another type."""
     return [{name: content} for name in names for content in (None, ['x'])]
@@ -248,13 +243,7 @@
 class TestLateStart:
     """Guards against starts that a later life of an executor carries out."""
 
-    @pytest.mark.parametrize(
-        'is_heard',
-        [
-            True,
-            pytest.param(False, marks=known_red('new life is not noticed')),
-        ],
-    )
+    @pytest.mark.parametrize('is_heard', [True, False])
     async def test_start_carried_out_by_a_later_life_under_the_same_id(
         self, is_heard
     ):
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -32,7 +32,7 @@
     is_hopeless_trial,
     retry_after_s,
 )
-from limpetlanding.runs.supervisor import LEASE_MS
+from limpetlanding.runs.room import LEASE_MS
 from limpetlanding.runs.worker_losses import WorkerLosses
 from limpetlanding.wire import Channel
 from limpetlanding.wire.run_messages import (
--- a/src/limpetlanding/runs/registration.py
+++ b/src/limpetlanding/runs/registration.py
@@ -1,9 +1,9 @@
 """Registers a worker in the store.
 
 Fronts find the worker by its record. A worker that has restarted looks up there
-whether its executor is still the same one. If so, it stops the runs of its earlier
-life before the next announcement, which may take 1.5 s. It starts none: the
-capacity may have changed since it was recorded.
+whether its executor is still the same one. If so, it stops the runs of its
+earlier life before the next announcement, which may take 1.5 s. It starts none:
+the capacity may have changed since it was recorded.
 """
 
 import asyncio
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -1,8 +1,7 @@
 """Supervises the runs at one executor, and renews their lease.
 
-The supervisor is the only caller of its executor. It reserves the resources of
-a run from before the start is sent until the run has certainly ended, because
-the executor does not check them itself.
+The supervisor is the only caller of its executor. `Room` decides when resources
+are free and whether a start may be sent.
 """
 
 import asyncio
@@ -14,8 +13,8 @@
 
 from loguru import logger
 
+from limpetlanding.errors import LimpetlandingError
 from limpetlanding.runs.background import BackgroundTasks, errors_logged
-from limpetlanding.runs.executor_clock import ExecutorClock
 from limpetlanding.runs.executor_losses import ExecutorLosses
 from limpetlanding.runs.health import ExecutorHealth
 from limpetlanding.runs.losses import LossKind
@@ -32,23 +31,18 @@
     StartOrder,
     StartReply,
 )
+from limpetlanding.runs.room import MAX_LEASE_MS, STOP_MARGIN_S, Room
 from limpetlanding.runs.tracked_run import (
     Evidence,
     RunResult,
     TrackedRun,
 )
 
-LEASE_MS = 900
-"""Requested duration of a lease."""
-
 MAX_OWNER_SILENCE_S = 0.3
 """The lease is shortened by the time beyond which the owner of a run has been
 silent, so that the runs of a silent owner end within 1.22 s even if stops are
 lost. Owners send heartbeats every 0.15 s."""
 
-MAX_LEASE_MS = 1000
-"""Longest lease that the platform grants; a longer one is shortened to it."""
-
 INVENTORY_WAIT_MS = 200
 """Longest wait of the executor before it answers an inventory while runs are
 active. The lease survives two consecutive lost answers."""
@@ -84,10 +78,6 @@
 DEFAULT_STOP_DURATION_S = 0.05
 """Longest time that the executor takes to stop a run, unless configured."""
 
-STOP_MARGIN_S = 0.1
-"""Added to the duration of a stop. After that time a run that no inventory
-lists counts as ended; an executor that had started it lists its end sooner."""
-
 MAX_ORDER_AGE_S = 1
 """An order that has not been sent to the executor by then is dropped. The front
 counts a silent worker as lost after 0.75 s, and starts its runs elsewhere
@@ -145,36 +135,37 @@
         self.departing = False
         # Counts the incarnations of the executor that this process has seen.
         self.generation = 0
-        self.runs: dict[tuple[str, int], TrackedRun] = {}
-        self.unknown_runs: set[tuple[str, int]] = set()
-        self.unknown_runs_since: float = 0
-        # Until then, unknown runs may occupy resources even if not listed.
-        self.unknown_runs_until: float = 0
-        self.clock = ExecutorClock()
+        # Orders of an earlier incarnation of this process may still arrive at
+        # the executor, which rejects them because of this higher token. The
+        # wall clock rises from one incarnation to the next.
+        self.room = Room(int(time.time() * 1000), stop_s)
         self.health = ExecutorHealth()
         self.run_ratio = 1.0
         # Positions in the executor's list of ended runs: the last one received,
         # and the last one whose acknowledgement the executor has received.
         self.acknowledged = 0
         self.acknowledged_by_executor = 0
-        self.last_lease_ms = 0
         self.reachable = False
         self.unanswered_inventories = 0
         self.refused_connections = 0
-        # An order was not answered, and no inventory has been received since.
-        self.order_unanswered = False
-        # Orders of an earlier incarnation of this process may still arrive at
-        # the executor, which rejects them because of this higher token. The
-        # wall clock rises from one incarnation to the next.
-        self.fence = int(time.time() * 1000)
         # Incarnations of this process differ in the token.
-        self.losses = ExecutorLosses(str(self.fence), self.loop.time())
+        self.losses = ExecutorLosses(str(self.room.fence), self.loop.time())
         self.stopping = False
         self.wake = asyncio.Event()
         self.no_runs_left = asyncio.Event()
         self.no_runs_left.set()
         self.background = BackgroundTasks()
 
+    @property
+    def runs(self) -> dict[tuple[str, int], TrackedRun]:
+        """Runs that occupy resources, by task and number."""
+        return self.room.runs
+
+    @property
+    def fence(self) -> int:
+        """Fencing token of the next call."""
+        return self.room.fence
+
     @property
     def capacity(self) -> Resources:
         """Total resources of the executor."""
@@ -183,10 +174,7 @@
     @property
     def free(self) -> Resources:
         """Resources that no run occupies."""
-        return sum(
-            (Resources() - run.need for run in self.runs.values()),
-            self.capacity,
-        )
+        return self.room.free
 
     def health_state(self) -> str:
         """Return ``good``, ``ejected`` or ``trial``."""
@@ -194,16 +182,14 @@
 
     def refusal_reason(self, need: Resources) -> str:
         """Return why a run cannot be started now; empty if it can."""
-        if self.executor is None or not self.reachable or self.order_unanswered:
+        if self.executor is None or not self.reachable:
             return 'executor silent'
         if self.stopping or self.executor.draining:
             return 'leaving'
-        if self.unknown_runs or self.loop.time() < self.unknown_runs_until:
-            return 'unknown runs are being stopped'
         health = self.health_state()
         if health == 'ejected' or (health == 'trial' and self.runs):
             return 'unhealthy'
-        return '' if self.free.covers(need) else 'no room'
+        return self.room.refusal_reason(need, self.loop.time())
 
     def handle_announcement(self, executor: Executor) -> None:
         """Process an announcement of the executor.
@@ -215,7 +201,7 @@
         if known is None:
             self._begin_incarnation(executor)
         elif executor.incarnation != known.incarnation:
-            self.announced = executor
+            self.announced = _later(self.announced, executor)
             self.background.spawn(self._identify(self.generation))
         elif executor.sequence > known.sequence:
             self._update(known, executor)
@@ -243,10 +229,10 @@
 
         The caller checks `refusal_reason` first.
         """
-        self.runs[held.key] = held
+        self.room.reserve(held)
         self.no_runs_left.clear()
         self.on_change()
-        self.background.spawn(self._start(held))
+        self.background.spawn(self._start(held, self.generation))
 
     def stop(self, held: TrackedRun, how: RunEnd = RunEnd.STOPPED) -> None:
         """Stop a run; its end is reported once it has certainly ended."""
@@ -280,20 +266,14 @@
         self.executor = executor
         self.announced = None
         self.departing = False
-        if self.generation:
-            # Rejects starts of this process that were meant for the previous
-            # incarnation, if the executor has kept its id.
-            self.fence += 1
         self.generation += 1
-        self.clock = ExecutorClock()
+        self.room.begin_life(executor.capacity)
         self.health = ExecutorHealth()
         self.acknowledged = 0
         self.acknowledged_by_executor = 0
-        self.last_lease_ms = 0
         self.reachable = False
         self._reset_missing_answers()
         self.losses.reset(self.loop.time())
-        self.unknown_runs.clear()
         logger.bind(
             step='executor',
             peer=executor.incarnation,
@@ -352,8 +332,8 @@
                 successor, capacity=Resources(), draining=False, sequence=-1
             )
         self._begin_incarnation(successor)
-        self.clock.record(inventory.clock_ms, self.loop.time())
-        self.last_lease_ms = inventory.clock_ms + MAX_LEASE_MS
+        self.room.clock.record(inventory.clock_ms, self.loop.time())
+        self.room.last_lease_ms = inventory.clock_ms + MAX_LEASE_MS
 
     def _end_lost_runs(
         self, kind: LossKind, evidence: Evidence, ended: list[TrackedRun]
@@ -378,6 +358,7 @@
 
     def _update(self, known: Executor, announced: Executor) -> None:
         self.executor = announced
+        self.room.capacity = announced.capacity
         self.departing = False
         if announced.draining != known.draining:
             logger.bind(step='executor', peer=announced.incarnation).info(
@@ -388,7 +369,7 @@
         self.on_change()
 
     def _raise_fence(self, error: FenceRejected) -> None:
-        self.fence += FENCING_TOKEN_INCREMENT
+        self.room.raise_fence(FENCING_TOKEN_INCREMENT)
         logger.bind(step='look', fence=self.fence).info(
             'fencing token raised: {}', error.detail
         )
@@ -398,34 +379,15 @@
 
     def _new_lease_end_ms(self) -> int:
         now = self.loop.time()
-        now_ms = self.clock.read_at(now) or 0
-        overdue_s = max(
-            self._overdue_stop_s(now),
-            now - self.owners_heard_at() - MAX_OWNER_SILENCE_S,
-        )
-        lease_end_ms = now_ms + LEASE_MS - round(1000 * max(overdue_s, 0))
-        self.last_lease_ms = max(self.last_lease_ms, lease_end_ms)
-        return lease_end_ms
-
-    def _overdue_stop_s(self, now: float) -> float:
-        """Return the age of the oldest stop without an answer, in seconds.
-
-        The executor has one lease for all runs. A run that has to be stopped
-        must end within the duration of a lease, even if the stop is lost.
-        """
-        requested = [
-            held.stop_requested_at
-            for held in self.runs.values()
-            if held.stop_requested_at is not None
-        ]
-        if self.unknown_runs:
-            requested.append(self.unknown_runs_since)
-        return now - min(requested, default=now)
+        overdue_s = now - self.owners_heard_at() - MAX_OWNER_SILENCE_S
+        return self.room.new_lease_end_ms(now, overdue_s)
 
     async def _poll_inventories(self, generation: int) -> None:
         while self._is_current(generation):
-            is_idle = not self.runs and not self.unknown_runs
-            if is_idle and self.acknowledged == self.acknowledged_by_executor:
+            if (
+                not self._is_busy()
+                and self.acknowledged == self.acknowledged_by_executor
+            ):
                 await self._wait_while_idle()
             if self._is_current(generation):
                 with errors_logged('look'):
@@ -433,6 +395,15 @@
                     continue
                 await asyncio.sleep(RETRY_PAUSE_S)
 
+    def _is_busy(self) -> bool:
+        # While a late start may come, a restart of the executor must be noticed
+        # at once: its new life has seen no fencing token.
+        return bool(
+            self.runs
+            or self.room.unknown_runs
+            or self.room.may_get_late_start(self.loop.time())
+        )
+
     async def _wait_while_idle(self) -> None:
         self.wake.clear()
         if not self.reachable:
@@ -447,15 +418,18 @@
         # Without runs there is no lease to renew, and the acknowledgement of an
         # end must not be delayed. The lease of unknown runs is not renewed, but
         # the call waits for their ends.
-        is_waiting = self.reachable and (self.runs or self.unknown_runs)
+        is_waiting = (
+            self.reachable and self.room.is_confirmed and self._is_busy()
+        )
         wait_ms = INVENTORY_WAIT_MS if is_waiting else 0
         lease = (
             self._new_lease_end_ms() if self.runs and self.reachable else None
         )
+        target = self.call_target()
         try:
             async with asyncio.timeout(wait_ms / 1000 + INVENTORY_TIMEOUT_S):
                 inventory = await self.port.inventory(
-                    self.call_target(), acknowledged, lease, wait_ms
+                    target, acknowledged, lease, wait_ms
                 )
         except (ExecutorUnavailable, TimeoutError) as error:
             await self._handle_missing_inventory(generation, error)
@@ -473,7 +447,7 @@
             self._follow_restart(inventory)
             return
         self.acknowledged_by_executor = acknowledged
-        self._apply_inventory(inventory, sent)
+        self._apply_inventory(inventory, target.fence, sent)
 
     async def _identify(self, generation: int) -> None:
         """Find out whether the known incarnation has ended."""
@@ -510,6 +484,7 @@
         if not self._is_current(generation):
             return
         self.unanswered_inventories += 1
+        self.room.require_inventory()
         is_refused = isinstance(error, ExecutorDown)
         self.refused_connections = (
             self.refused_connections + 1 if is_refused else 0
@@ -536,7 +511,7 @@
         ended = list(self.runs.values())
         if self._has_surely_crashed():
             self._end_lost_runs(LossKind.CRASHED, Evidence.REFUSED, ended)
-        elif self.clock.is_past(self.last_lease_ms, self.loop.time()):
+        elif self.room.is_lease_past(self.loop.time()):
             self._end_lost_runs(LossKind.SILENT, Evidence.LEASE, ended)
 
     def _has_surely_crashed(self) -> bool:
@@ -547,77 +522,43 @@
             and self.refused_connections >= MIN_REFUSED_CONNECTIONS
         )
 
-    def _apply_inventory(self, inventory: Inventory, sent: float) -> None:
+    def _apply_inventory(
+        self, inventory: Inventory, fence: int, sent: float
+    ) -> None:
         now = self.loop.time()
-        self.clock.record(inventory.clock_ms, now)
         self._reset_missing_answers()
         self.losses.end_silence(self.executor.incarnation, now)
-        if self.order_unanswered:
-            self.order_unanswered = False
+        was_accepting = self.reachable and self.room.is_confirmed
+        self.reachable = True
+        unknown_before = self.room.unknown_runs
+        endings = self.room.take_inventory(inventory, fence, sent, now)
+        if not was_accepting:
             self.on_change()
-        if not self.reachable:
-            self.reachable = True
-            self.on_change()
-        for end in inventory.ended:
-            if end.number > self.acknowledged:
-                self.acknowledged = end.number
-            held = self.runs.get((end.task, end.run))
+        numbers = [end.number for end in inventory.ended]
+        self.acknowledged = max(self.acknowledged, *numbers, 0)
+        for held, how, evidence in endings:
+            self._finish(held, how, evidence)
+        for run in inventory.active:
+            held = self.runs.get((run.task, run.run))
             if held is not None:
-                self._finish(held, _run_end(held, end.how), Evidence.LISTED)
-        active = {(run.task, run.run): run.percent for run in inventory.active}
-        for key, held in list(self.runs.items()):
-            if key in active:
-                self._update_progress(held, active[key], now)
-            else:
-                self._handle_unlisted_run(held, sent, now)
-        self._stop_unknown_runs(active.keys() - self.runs.keys())
-
-    def _handle_unlisted_run(
-        self, held: TrackedRun, sent: float, now: float
-    ) -> None:
-        if held.listed_after is not None and held.listed_after < sent:
-            if held.stop_requested_at is not None and not held.was_unlisted:
-                # The stop may have been carried out but not yet answered.
-                held.was_unlisted = True
-                held.listed_after = now + self.stop_s + STOP_MARGIN_S
-                return
-            how = held.requested_end or RunEnd.LAPSED
-            self._finish(held, how, Evidence.UNLISTED)
-        elif self._can_never_start(held, sent):
-            how = held.requested_end or RunEnd.REFUSED
-            self._finish(held, how, Evidence.LEASE)
-
-    def _can_never_start(self, held: TrackedRun, sent: float) -> bool:
-        # The executor rejects a start whose lease has expired.
-        return (
-            held.stop_sent
-            and held.start_sent
-            and self.clock.is_past(held.lease_until_ms, sent)
-        )
-
-    def _stop_unknown_runs(self, keys: set[tuple[str, int]]) -> None:
-        if self.unknown_runs != keys:
-            logger.bind(step='look', runs=sorted(keys)[:5]).info(
-                'unknown runs at the executor: {}', len(keys)
+                self._update_progress(held, run.percent, now)
+        self._stop_unknown_runs(unknown_before)
+
+    def _stop_unknown_runs(self, known: set[tuple[str, int]]) -> None:
+        unknown = self.room.unknown_runs
+        if unknown != known:
+            logger.bind(step='look', runs=sorted(unknown)[:5]).info(
+                'unknown runs at the executor: {}', len(unknown)
             )
             self.on_change()
-        if self.unknown_runs - keys:
-            stop_s = self.stop_s + STOP_MARGIN_S
-            self.unknown_runs_until = self.loop.time() + stop_s
-            self.loop.call_later(stop_s, self.on_change)
-        if keys and not self.unknown_runs:
-            self.unknown_runs_since = self.loop.time()
-        for key in sorted(keys - self.unknown_runs):
+        if known - unknown:
+            self.loop.call_later(self.stop_s + STOP_MARGIN_S, self.on_change)
+        for key in sorted(unknown - known):
             self.background.spawn(self._stop_unknown_run(*key))
-        self.unknown_runs = keys
 
     def _update_progress(
         self, held: TrackedRun, percent: float, now: float
     ) -> None:
-        if not held.started:
-            # The answer to the start was lost, but the run has started.
-            held.started = True
-            held.started_at = now
         if percent != held.percent:
             held.percent = percent
             held.progress_at = now
@@ -634,41 +575,44 @@
             ).info('run stopped: no progress')
             self.stop(held, RunEnd.STALLED)
 
-    async def _start(self, held: TrackedRun) -> None:
-        generation = self.generation
+    async def _start(self, held: TrackedRun, generation: int) -> None:
         for _ in range(MAX_START_ATTEMPTS):
             reply = await self._send_start(held, generation)
-            if reply is None or self.runs.get(held.key) is not held:
+            if reply is None or not self.room.holds(held):
                 return
             self.losses.record_answer(self.loop.time())
             if reply.clock_ms is not None and self._is_current(generation):
-                self.clock.record(reply.clock_ms, self.loop.time())
+                self.room.clock.record(reply.clock_ms, self.loop.time())
             if reply.refusal != 'expired':
                 self._handle_start_reply(held, reply)
                 return
+            self.room.record_not_started(held)
         self._finish(held, RunEnd.REFUSED, Evidence.START_REFUSED)
 
+    def _withheld_reason(self, held: TrackedRun, generation: int) -> str:
+        """Return why a start must not be sent any more; empty if it may."""
+        if held.stop_sent:
+            return 'the run has been stopped'
+        if not self._is_current(generation):
+            return 'the executor was replaced'
+        if self.now() - held.ordered_at > MAX_ORDER_AGE_S:
+            return 'this process was suspended'
+        return 'no room is left' if self.room.is_overfull() else ''
+
     async def _send_start(
         self, held: TrackedRun, generation: int
     ) -> StartReply | None:
-        if self.runs.get(held.key) is not held:
-            return None
-        if held.stop_sent and not held.start_sent:
-            how = held.requested_end or RunEnd.STOPPED
-            self._finish(held, how, Evidence.NOT_SENT)
+        if not self.room.holds(held):
             return None
-        if not self._is_current(generation):
-            self.stop(held, RunEnd.REFUSED)
-            return None
-        if self.now() - held.ordered_at > MAX_ORDER_AGE_S:
+        reason = self._withheld_reason(held, generation)
+        if reason:
             logger.bind(
                 request_id=held.job_id, task=held.task, run=held.run
-            ).info('start dropped: this process was suspended')
-            # An earlier attempt may have reached the executor.
-            self.stop(held, RunEnd.REFUSED)
+            ).info('start dropped: {}', reason)
+            how = held.requested_end or RunEnd.REFUSED
+            self._finish(held, how, Evidence.NOT_SENT)
             return None
-        held.lease_until_ms = self._new_lease_end_ms()
-        held.start_sent = True
+        self.room.record_sent(held, self._new_lease_end_ms())
         order = StartOrder(
             held.task,
             held.run,
@@ -682,40 +626,44 @@
         except ExecutorDown as error:
             # The order never reached the executor, so the run need not be
             # stopped, and has no part in the loss of the executor.
+            self.room.record_not_started(held)
             self._note_missing_answer()
             logger.bind(
                 request_id=held.job_id, task=held.task, run=held.run
             ).info('start not delivered: {}', error)
             how = held.requested_end or RunEnd.REFUSED
             self._finish(held, how, Evidence.UNDELIVERED)
-        except (ExecutorUnavailable, FenceRejected, TimeoutError) as error:
-            self._note_missing_answer()
-            logger.bind(
-                request_id=held.job_id, task=held.task, run=held.run
-            ).info('start without answer; the run is stopped: {!r}', error)
-            # The executor may execute the order later. The start must be
-            # blocked before the task can be started elsewhere.
-            self.stop(held, RunEnd.REFUSED)
         except ExecutorReplaced as error:
             if self._is_current(generation):
                 self._end_incarnation(str(error), Evidence.REPLACED)
+        except Exception as error:
+            self._handle_lost_start(held, error)
+            if not isinstance(error, LimpetlandingError | TimeoutError):
+                raise
         return None
 
+    def _handle_lost_start(self, held: TrackedRun, error: Exception) -> None:
+        self.room.record_lost_start(self.loop.time())
+        self._note_missing_answer()
+        logger.bind(request_id=held.job_id, task=held.task, run=held.run).info(
+            'start without answer; the run is stopped: {!r}', error
+        )
+        # The executor may execute the order later. The start must be blocked
+        # before the task can be started elsewhere.
+        self.stop(held, RunEnd.REFUSED)
+
     def _note_missing_answer(self) -> None:
-        self.order_unanswered = True
+        self.room.require_inventory()
         self.wake.set()
         self.on_change()
 
     def _handle_start_reply(self, held: TrackedRun, reply: StartReply) -> None:
         now = self.loop.time()
         if not reply.refusal:
-            held.listed_after = now
-            if not held.started:
-                held.started = True
-                held.started_at = now
-                held.progress_at = now
+            self.room.record_started(held, now)
             self.wake.set()
             return
+        self.room.record_not_started(held)
         suspect = reply.refusal == 'unhealthy'
         # A run that was stopped before its start arrived is outdated, too.
         is_outdated = reply.refusal == 'outdated'
@@ -727,19 +675,17 @@
         self._finish(held, how, Evidence.START_REFUSED, suspect=suspect)
 
     async def _stop(self, held: TrackedRun) -> None:
-        while self.runs.get(held.key) is held and self.executor is not None:
+        while self.room.holds(held) and self.executor is not None:
             if await self._send_stop(held.task, held.run):
-                held.stop_requested_at = None
-                # A run that is being stopped occupies its resources, although
-                # it may be listed neither as active nor as ended.
-                held.listed_after = (
-                    self.loop.time() + self.stop_s + STOP_MARGIN_S
-                )
+                self.room.record_stopped(held, self.loop.time())
                 self.wake.set()
                 return
 
     async def _stop_unknown_run(self, task: str, run: int) -> None:
-        while (task, run) in self.unknown_runs and self.executor is not None:
+        while (
+            task,
+            run,
+        ) in self.room.unknown_runs and self.executor is not None:
             if await self._send_stop(task, run):
                 return
 
@@ -764,9 +710,8 @@
         evidence: Evidence,
         suspect: bool = False,
     ) -> None:
-        if self.runs.get(held.key) is not held:
+        if not self.room.release(held):
             return
-        self.runs.pop(held.key)
         if not self.runs:
             self.no_runs_left.set()
         now = self.loop.time()
@@ -799,7 +744,12 @@
             self.run_ratio += RATIO_WEIGHT * (ratio - self.run_ratio)
 
 
-def _run_end(held: TrackedRun, listed: RunEnd) -> RunEnd:
-    if listed is RunEnd.STOPPED and held.requested_end is not None:
-        return held.requested_end
-    return listed
+def _later(known: Executor | None, announced: Executor) -> Executor:
+    """Return the later one of two announcements, if one executor sent both."""
+    if (
+        known is not None
+        and known.incarnation == announced.incarnation
+        and known.sequence > announced.sequence
+    ):
+        return known
+    return announced
--- a/src/limpetlanding/runs/tests/test_supervisor.py
+++ b/src/limpetlanding/runs/tests/test_supervisor.py
@@ -4,7 +4,12 @@
 from contextlib import asynccontextmanager
 
 from limpetlanding.runs.model import Resources
-from limpetlanding.runs.ports import Executor, Inventory, StartReply
+from limpetlanding.runs.ports import (
+    Executor,
+    ExecutorReplaced,
+    Inventory,
+    StartReply,
+)
 from limpetlanding.runs.supervisor import RunSupervisor
 from limpetlanding.runs.tracked_run import TrackedRun
 
@@ -116,3 +121,41 @@
             await asyncio.sleep(0.1)
             assert len(ends) == 1
             assert not port.starts
+
+    async def test_executor_that_is_replaced_by_a_smaller_one(self):
+        async with supervised() as (supervisor, port, ends):
+            answer = await next_inventory(supervisor, port)
+            supervisor.announced = executor(2, CPU // 2)
+            answer.set_exception(ExecutorReplaced('replaced', step='look'))
+            supervisor.start(tracked_run())
+            await asyncio.sleep(0.1)
+            assert len(ends) == 1
+            assert not port.starts
+
+    async def test_capacity_that_shrinks_between_two_attempts(self):
+        async with supervised() as (supervisor, port, ends):
+
+            async def refuse(number):
+                if number == 1:
+                    supervisor.handle_announcement(
+                        executor(cpu=CPU // 2, sequence=2)
+                    )
+                return StartReply(CLOCK_MS, 'expired')
+
+            port.answer_start = refuse
+            supervisor.start(tracked_run())
+            await asyncio.sleep(0.1)
+            assert len(ends) == len(port.starts) == 1
+
+
+class TestAnnouncement:
+    """Guards against room that a late announcement grants."""
+
+    async def test_late_one_of_the_next_incarnation_with_more_room(self):
+        async with supervised() as (supervisor, port, _):
+            answer = await next_inventory(supervisor, port)
+            supervisor.handle_announcement(executor(2, CPU // 2, sequence=5))
+            supervisor.handle_announcement(executor(2, CPU, sequence=1))
+            answer.set_exception(ExecutorReplaced('replaced', step='look'))
+            await asyncio.sleep(0.01)
+            assert supervisor.capacity == Resources(CPU // 2)
--- a/src/limpetlanding/runs/tracked_run.py
+++ b/src/limpetlanding/runs/tracked_run.py
@@ -63,6 +63,10 @@
     estimate_ms: float = 0
     ordered_at: float = inf
     start_sent: bool = False
+    # The start may still be carried out: it is on its way or was not answered.
+    start_pending: bool = False
+    # Fencing token of the last attempt to start the run.
+    start_fence: int = 0
     started: bool = False
     # An inventory that is requested after this time lists the run unless it has
     # ended or can never start.
--- a/src/limpetlanding/standin/platform_executor.py
+++ b/src/limpetlanding/standin/platform_executor.py
@@ -223,6 +223,28 @@
             elif lease_end <= now:
                 self._end(run, 'lapsed', lease_end)
 
+    async def call(
+        self, name: str, fields: dict[str, Any], expected: str | None
+    ) -> tuple[int, bytes]:
+        """Carry out a call without a network; return status and body.
+
+        Parameters
+        ----------
+        name : str
+            ``run-start``, ``run-stop`` or ``hold``.
+        fields : dict
+            Body of the call.
+        expected : str or None
+            Id of the executor that the call is meant for.
+        """
+        handlers = {
+            'run-start': self._start,
+            'run-stop': self._stop,
+            'hold': self._hold,
+        }
+        response = await self._execute(handlers[name], fields, expected)
+        return response.status, response.body or b''
+
     def _serve(self, handler: Any, is_order: bool) -> Any:
         async def serve(request: web.Request) -> web.StreamResponse:
             self.transports.add(request.transport)
