Grant no room on a capacity that was announced 4 s ago or earlier

Change: the capacity counts for 4 s after its announcement, on the clock that counts the time of a suspended machine; executors announce themselves every 1.5 s. Starts that wait are checked too. Test: test_capacity_from_before_a_suspension_grants_no_room failed before.

--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -83,6 +83,10 @@
 counts a silent worker as lost after 0.75 s, and starts its runs elsewhere
 1.77 s later."""
 
+MAX_CAPACITY_AGE_S = 4
+"""An older capacity grants no room, since it may have changed. Executors
+announce themselves every 1.5 s; two announcements in a row may be lost."""
+
 MAX_START_ATTEMPTS = 3
 
 RATIO_WEIGHT = 0.1
@@ -131,6 +135,8 @@
         self.executor: Executor | None = None
         # The latest announcement of another incarnation, not yet confirmed.
         self.announced: Executor | None = None
+        # When the executor last announced its capacity, on the clock `now`.
+        self.capacity_announced_at: float = 0
         # The executor has said that it shuts down.
         self.departing = False
         # Counts the incarnations of the executor that this process has seen.
@@ -186,11 +192,16 @@
             return 'executor silent'
         if self.stopping or self.executor.draining:
             return 'leaving'
+        if self._is_capacity_outdated():
+            return 'capacity not announced lately'
         health = self.health_state()
         if health == 'ejected' or (health == 'trial' and self.runs):
             return 'unhealthy'
         return self.room.refusal_reason(need, self.loop.time())
 
+    def _is_capacity_outdated(self) -> bool:
+        return self.now() - self.capacity_announced_at > MAX_CAPACITY_AGE_S
+
     def handle_announcement(self, executor: Executor) -> None:
         """Process an announcement of the executor.
 
@@ -268,6 +279,7 @@
         self.departing = False
         self.generation += 1
         self.room.begin_life(executor.capacity)
+        self.capacity_announced_at = self.now()
         self.health = ExecutorHealth()
         self.acknowledged = 0
         self.acknowledged_by_executor = 0
@@ -359,6 +371,7 @@
     def _update(self, known: Executor, announced: Executor) -> None:
         self.executor = announced
         self.room.capacity = announced.capacity
+        self.capacity_announced_at = self.now()
         self.departing = False
         if announced.draining != known.draining:
             logger.bind(step='executor', peer=announced.incarnation).info(
@@ -597,6 +610,8 @@
             return 'the executor was replaced'
         if self.now() - held.ordered_at > MAX_ORDER_AGE_S:
             return 'this process was suspended'
+        if self._is_capacity_outdated():
+            return 'capacity not announced lately'
         return 'no room is left' if self.room.is_overfull() else ''
 
     async def _send_start(
--- a/src/limpetlanding/runs/tests/test_supervisor.py
+++ b/src/limpetlanding/runs/tests/test_supervisor.py
@@ -84,11 +84,14 @@
 
 
 @asynccontextmanager
-async def supervised():
-    """Yield a supervisor whose executor has answered once, port and ends."""
+async def supervised(clock=None):
+    """Yield a supervisor whose executor has answered once, port and ends.
+
+    `clock` is the clock that advances while the process is suspended.
+    """
     port = ControlledPort()
     ends = []
-    supervisor = RunSupervisor(port, ends.append, lambda: None)
+    supervisor = RunSupervisor(port, ends.append, lambda: None, clock=clock)
     supervisor.handle_announcement(executor())
     await asyncio.sleep(0.01)
     port.inventories.pop().set_result(inventory())
@@ -159,3 +162,13 @@
             answer.set_exception(ExecutorReplaced('replaced', step='look'))
             await asyncio.sleep(0.01)
             assert supervisor.capacity == Resources(CPU // 2)
+
+    async def test_capacity_from_before_a_suspension_grants_no_room(self):
+        loop = asyncio.get_running_loop()
+        suspended_s = 0
+        async with supervised(lambda: loop.time() + suspended_s) as started:
+            supervisor, _, _ = started
+            suspended_s = 5
+            assert supervisor.refusal_reason(Resources(CPU))
+            supervisor.handle_announcement(executor(sequence=2))
+            assert not supervisor.refusal_reason(Resources(CPU))
