Ask an idle executor again at once after a lost answer

Found on reading, not landed: one unanswered inventory of an idle executor, or a start that was not delivered, left its room unconfirmed until the next idle inventory, up to 2 s later, and all runs were refused meanwhile. Change: inventories continue while the room is not confirmed. Test: test_idle_executor_is_asked_again_at_once failed before.

--- a/src/limpetlanding/runs/room.py
+++ b/src/limpetlanding/runs/room.py
@@ -54,7 +54,7 @@
     >>> room = Room(fence=7, stop_s=0.05)
     >>> room.begin_life(Resources(4000))
     >>> room.refusal_reason(Resources(4000), now=1.0)
-    'earlier starts may still be carried out'
+    'room not confirmed by the executor'
     >>> room.take_inventory(Inventory(5000, 1), fence=7, sent=1.0, now=1.1)
     []
     >>> room.refusal_reason(Resources(4000), now=1.1)
@@ -113,7 +113,7 @@
     def refusal_reason(self, need: Resources, now: float) -> str:
         """Return why a run cannot be started now; empty if it can."""
         if not self.is_confirmed:
-            return 'earlier starts may still be carried out'
+            return 'room not confirmed by the executor'
         if self.unknown_runs or now < self.unknown_runs_until:
             return 'unknown runs are being stopped'
         return '' if self.free.covers(need) else 'no room'
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -397,10 +397,7 @@
 
     async def _poll_inventories(self, generation: int) -> None:
         while self._is_current(generation):
-            if (
-                not self._is_busy()
-                and self.acknowledged == self.acknowledged_by_executor
-            ):
+            if not self._is_busy() and not self._has_to_call():
                 await self._wait_while_idle()
             if self._is_current(generation):
                 with errors_logged('look'):
@@ -408,7 +405,15 @@
                     continue
                 await asyncio.sleep(RETRY_PAUSE_S)
 
+    def _has_to_call(self) -> bool:
+        """Tell whether an acknowledgement or a confirmation is due."""
+        return (
+            self.acknowledged != self.acknowledged_by_executor
+            or not self.room.is_confirmed
+        )
+
     def _is_busy(self) -> bool:
+        """Tell whether an end of a run or of the executor may come soon."""
         # While a late start may come, a restart of the executor must be noticed
         # at once: its new life has seen no fencing token.
         return bool(
@@ -419,8 +424,6 @@
 
     async def _wait_while_idle(self) -> None:
         self.wake.clear()
-        if not self.reachable:
-            return
         with suppress(TimeoutError):
             async with asyncio.timeout(IDLE_INVENTORY_INTERVAL_S):
                 await self.wake.wait()
--- a/src/limpetlanding/runs/tests/test_supervisor.py
+++ b/src/limpetlanding/runs/tests/test_supervisor.py
@@ -7,6 +7,7 @@
 from limpetlanding.runs.ports import (
     Executor,
     ExecutorReplaced,
+    ExecutorUnavailable,
     Inventory,
     StartReply,
 )
@@ -172,3 +173,17 @@
             assert supervisor.refusal_reason(Resources(CPU))
             supervisor.handle_announcement(executor(sequence=2))
             assert not supervisor.refusal_reason(Resources(CPU))
+
+
+class TestUnansweredInventory:
+    """Guards against room that stays refused after a single lost answer."""
+
+    async def test_idle_executor_is_asked_again_at_once(self):
+        async with supervised() as (supervisor, port, _):
+            answer = await next_inventory(supervisor, port)
+            answer.set_exception(ExecutorUnavailable('reset', step='look'))
+            await asyncio.sleep(0.1)
+            assert supervisor.refusal_reason(Resources(CPU))
+            port.inventories.pop().set_result(inventory())
+            await asyncio.sleep(0.01)
+            assert not supervisor.refusal_reason(Resources(CPU))
