--- a/src/limpetlanding/runs/registration.py
+++ b/src/limpetlanding/runs/registration.py
@@ -2,8 +2,8 @@
 
 Fronts find the worker by its record. A worker that has restarted looks up there
 whether its executor is still the same one. If so, it stops the runs of its
-earlier life before the next announcement, which may take 1.5 s. It starts none:
-the capacity may have changed since it was recorded.
+earlier incarnation before the next announcement, which may take 1.5 s. It
+starts none: the capacity may have changed since it was recorded.
 """
 
 import asyncio
--- a/src/limpetlanding/runs/room.py
+++ b/src/limpetlanding/runs/room.py
@@ -1,16 +1,16 @@
 """The room of one executor, and what proves that it is free.
 
 The executor does not check its capacity, and an order without an answer may be
-carried out seconds later, also by its next life under the same id. A run
+carried out seconds later, also by its next incarnation under the same id. A run
 therefore occupies its resources from before its start is sent until two things
 are proved: it has ended, and no order can still start it.
 
 A run has ended if the executor lists its end, or does not list it although it
-would have to. A start can come no more if it was answered, if its lease has
-expired or its stop was confirmed, and if the same life of the executor has
-answered a call with a higher fencing token. A new life has seen no token, so it
-gets no start before it has answered a call with a token above those of all
-earlier starts.
+would have to. A start can come no more if it was answered; or if its lease has
+expired or its stop was confirmed, and the same incarnation has answered a call
+with a higher fencing token. A new incarnation has seen no token, so it gets no
+start before it has answered a call with a token above those of all earlier
+starts.
 
 Times are in monotonic seconds of this process; the module makes no calls.
 """
@@ -52,7 +52,7 @@
     Examples
     --------
     >>> room = Room(fence=7, stop_s=0.05)
-    >>> room.begin_life(Resources(4000))
+    >>> room.begin_incarnation(Resources(4000))
     >>> room.refusal_reason(Resources(4000), now=1.0)
     'room not confirmed by the executor'
     >>> room.take_inventory(Inventory(5000, 1), fence=7, sent=1.0, now=1.1)
@@ -72,8 +72,8 @@
         self.clock = ExecutorClock()
         self.last_lease_ms = 0
         self.fence = fence
-        # No start is sent until the current life has answered an inventory with
-        # this token or a higher one.
+        # No start is sent until the current incarnation has answered an
+        # inventory with this token or a higher one.
         self.required_fence = fence
         self.confirmed_fence = -1
         self.lost_start_at: float | None = None
@@ -86,8 +86,8 @@
             self.capacity,
         )
 
-    def begin_life(self, capacity: Resources) -> None:
-        """Begin another life of the executor; runs that are left stay here."""
+    def begin_incarnation(self, capacity: Resources) -> None:
+        """Begin another incarnation; runs that are left keep their room."""
         if self.confirmed_fence >= 0 or self.runs:
             self.raise_fence()
         self.capacity = capacity
@@ -107,7 +107,7 @@
         return self.confirmed_fence >= self.required_fence
 
     def require_inventory(self) -> None:
-        """Send no start before the next answer: the life may have ended."""
+        """Send no start before the next answer of the executor."""
         self.confirmed_fence = min(self.confirmed_fence, 0)
 
     def refusal_reason(self, need: Resources, now: float) -> str:
@@ -205,7 +205,7 @@
     def take_inventory(
         self, inventory: Inventory, fence: int, sent: float, now: float
     ) -> list[Ending]:
-        """Learn from an answer of the current life of the executor.
+        """Learn from an answer of the current incarnation.
 
         Parameters
         ----------
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -278,7 +278,7 @@
         self.announced = None
         self.departing = False
         self.generation += 1
-        self.room.begin_life(executor.capacity)
+        self.room.begin_incarnation(executor.capacity)
         self.capacity_announced_at = self.now()
         self.health = ExecutorHealth()
         self.acknowledged = 0
@@ -415,7 +415,7 @@
     def _is_busy(self) -> bool:
         """Tell whether an end of a run or of the executor may come soon."""
         # While a late start may come, a restart of the executor must be noticed
-        # at once: its new life has seen no fencing token.
+        # at once: its next incarnation has seen no fencing token.
         return bool(
             self.runs
             or self.room.unknown_runs
--- a/src/limpetlanding/runs/tests/test_room.py
+++ b/src/limpetlanding/runs/tests/test_room.py
@@ -26,7 +26,7 @@
 def new_room():
     """Return a room whose executor has answered at 0 s."""
     room = Room(FENCE, STOP_S)
-    room.begin_life(ALL)
+    room.begin_incarnation(ALL)
     assert not room.take_inventory(answer(0), FENCE, 0, 0)
     return room
 
@@ -126,21 +126,21 @@
         take(room, 1.3)
         assert not room.refusal_reason(ALL, 1.3)
 
-    def test_next_life_gets_no_start_before_it_has_answered_a_higher_token(
+    def test_next_incarnation_gets_no_start_before_a_higher_token_is_answered(
         self,
     ):
         room = new_room()
         held = run_whose_start_is_sent(room, 1)
         room.release(held)
         before = room.fence
-        room.begin_life(ALL)
+        room.begin_incarnation(ALL)
         assert room.fence > before > held.start_fence
         assert room.refusal_reason(ALL, 2)
         take(room, 2)
         assert not room.refusal_reason(ALL, 2)
 
     def test_later_starts_carry_a_higher_token_than_one_without_answer(self):
-        # The next life may be given them before its restart is noticed.
+        # The next incarnation may get them before its restart is noticed.
         room = new_room()
         lost = run_whose_start_is_sent(room, 1)
         room.record_lost_start(1.25)
@@ -172,7 +172,7 @@
     def test_runs_of_the_last_life_that_may_go_on_keep_their_room(self):
         room = new_room()
         run_whose_start_is_sent(room, 1)
-        room.begin_life(ALL)
+        room.begin_incarnation(ALL)
         take(room, 2)
         assert room.refusal_reason(Resources(1), 2) == 'no room'
 
