Count no free room while there is no executor

No run was started: runs are refused without an executor. Change: the capacity is state of the room alone, and 0 once the executor has left. Test: test_no_room_is_free failed before, and passes on.

--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -175,7 +175,7 @@
     @property
     def capacity(self) -> Resources:
         """Total resources of the executor."""
-        return self.executor.capacity if self.executor else Resources()
+        return self.room.capacity
 
     @property
     def free(self) -> Resources:
@@ -306,6 +306,7 @@
         if crashed:
             self._end_lost_runs(LossKind.CRASHED, evidence, ended)
         self.executor = None
+        self.room.capacity = Resources()
         self.reachable = False
         self.wake.set()
         for held in ended:
--- a/src/limpetlanding/runs/tests/test_supervisor.py
+++ b/src/limpetlanding/runs/tests/test_supervisor.py
@@ -187,3 +187,12 @@
             port.inventories.pop().set_result(inventory())
             await asyncio.sleep(0.01)
             assert not supervisor.refusal_reason(Resources(CPU))
+
+
+class TestDepartedExecutor:
+    """Guards against room of an executor that is not there."""
+
+    async def test_no_room_is_free(self):
+        async with supervised() as (supervisor, _, _):
+            supervisor.handle_departure('i-1')
+            assert supervisor.free == supervisor.capacity == Resources()
