Simplify the room of an executor and its tests

A run that has not been sent has no lease (None) instead of a lease of 0 and a flag beside it. The margin of a stop is computed once. Each incarnation raises the token, so that the confirmed token needs one value for 'none', not two. An answer to a start is recorded in one method. The stand-in executor has one table of its calls, and the random test decodes announcements like a worker does. The tests keep their assertions; two name the token by its source, since it is one higher.

--- a/src/limpetlanding/platform/tests/test_room_under_faults.py
+++ b/src/limpetlanding/platform/tests/test_room_under_faults.py
@@ -9,12 +9,14 @@
 from contextlib import AsyncExitStack, suppress
 from random import Random
 
+import orjson
 import pytest
 
+from limpetlanding.platform.decode import decode_executor
 from limpetlanding.platform.executor import ExecutorClient
+from limpetlanding.platform.tests.rig import HEARTBEAT_INTERVAL_S
 from limpetlanding.runs.model import Resources, RunEnd
 from limpetlanding.runs.ports import (
-    Executor,
     ExecutorDown,
     ExecutorUnavailable,
 )
@@ -31,7 +33,6 @@
 CPU_PER_TASK = 6000
 TRAFFIC_S = 15
 MAX_LATE_S = 8
-HEARTBEAT_INTERVAL_S = 1.5
 # A late call that arrives before the first call of the worker is not blocked.
 FIRST_CALL_S = 0.05
 FATES = ('lost', 'unanswered', 'late', 'doubled', 'slow')
@@ -150,17 +151,9 @@
         """Announce the executor, unless it is down."""
         if self.client.is_down:
             return
-        fields = self.executor.announcement()
+        body = orjson.dumps(self.executor.announcement())
         self.supervisor.handle_announcement(
-            Executor(
-                self.executor.executor_id,
-                fields['born'],
-                'desk',
-                Resources(fields['capacity']['cpu'], 65_536),
-                (),
-                False,
-                fields['seq'],
-            )
+            decode_executor(self.executor.executor_id, body)
         )
 
     async def lose_calls(self):
--- a/src/limpetlanding/runs/room.py
+++ b/src/limpetlanding/runs/room.py
@@ -55,14 +55,15 @@
     >>> room.begin_incarnation(Resources(4000))
     >>> room.refusal_reason(Resources(4000), now=1.0)
     'room not confirmed by the executor'
-    >>> room.take_inventory(Inventory(5000, 1), fence=7, sent=1.0, now=1.1)
+    >>> room.take_inventory(Inventory(5000, 1), room.fence, sent=1.0, now=1.1)
     []
     >>> room.refusal_reason(Resources(4000), now=1.1)
     ''
     """
 
     def __init__(self, fence: int, stop_s: float) -> None:
-        self.stop_s = stop_s
+        # Time after which an order to stop has certainly had its effect.
+        self.stop_limit_s = stop_s + STOP_MARGIN_S
         self.capacity = Resources()
         self.runs: dict[tuple[str, int], TrackedRun] = {}
         self.unknown_runs: set[tuple[str, int]] = set()
@@ -75,7 +76,8 @@
         # No start is sent until the current incarnation has answered an
         # inventory with this token or a higher one.
         self.required_fence = fence
-        self.confirmed_fence = -1
+        # Highest token that it has answered; 0 if it has to answer again.
+        self.confirmed_fence = 0
         self.lost_start_at: float | None = None
 
     @property
@@ -88,14 +90,18 @@
 
     def begin_incarnation(self, capacity: Resources) -> None:
         """Begin another incarnation; runs that are left keep their room."""
-        if self.confirmed_fence >= 0 or self.runs:
-            self.raise_fence()
+        self.raise_fence()
+        self.require_inventory()
         self.capacity = capacity
         self.clock = ExecutorClock()
         self.last_lease_ms = 0
-        self.confirmed_fence = -1
         self.unknown_runs.clear()
 
+    def assume_longest_lease(self, clock_ms: int, now: float) -> None:
+        """Record a reading of the executor's clock and a lease granted then."""
+        self.clock.record(clock_ms, now)
+        self.last_lease_ms = clock_ms + MAX_LEASE_MS
+
     def raise_fence(self, increment: int = 1) -> None:
         """Let the next inventory block all starts that were sent before."""
         self.fence += increment
@@ -108,7 +114,7 @@
 
     def require_inventory(self) -> None:
         """Send no start before the next answer of the executor."""
-        self.confirmed_fence = min(self.confirmed_fence, 0)
+        self.confirmed_fence = 0
 
     def refusal_reason(self, need: Resources, now: float) -> str:
         """Return why a run cannot be started now; empty if it can."""
@@ -173,12 +179,11 @@
         """Record that the start of a run is being sent."""
         held.lease_until_ms = lease_until_ms
         held.start_fence = self.fence
-        held.start_sent = True
         held.start_pending = True
 
     def record_started(self, held: TrackedRun, now: float) -> None:
         """Record that the executor has confirmed a start or lists the run."""
-        held.start_pending = False
+        self.record_answered(held)
         # The stop may have been confirmed before.
         held.listed_after = max(held.listed_after or now, now)
         if not held.started:
@@ -186,8 +191,8 @@
             held.started_at = now
             held.progress_at = now
 
-    def record_not_started(self, held: TrackedRun) -> None:
-        """Record that an attempt to start a run has surely had no effect."""
+    def record_answered(self, held: TrackedRun) -> None:
+        """Record that the last start that was sent can have no later effect."""
         held.start_pending = False
 
     def record_lost_start(self, now: float) -> None:
@@ -200,7 +205,7 @@
         held.stop_requested_at = None
         # A run that is being stopped occupies its resources, although it may be
         # listed neither as active nor as ended.
-        held.listed_after = now + self.stop_s + STOP_MARGIN_S
+        held.listed_after = now + self.stop_limit_s
 
     def take_inventory(
         self, inventory: Inventory, fence: int, sent: float, now: float
@@ -230,7 +235,7 @@
         for key in active & self.runs.keys():
             held = self.runs[key]
             held.was_unlisted = False
-            held.start_pending = False
+            self.record_answered(held)
             if not held.started:
                 # The answer to the start was lost, but the run has started.
                 self.record_started(held, now)
@@ -240,7 +245,7 @@
             if key in listed
         ]
         for held, _, _ in endings:
-            held.start_pending = False
+            self.record_answered(held)
         unlisted = self.runs.keys() - active - listed.keys()
         endings += [
             ending
@@ -263,7 +268,7 @@
         if held.stop_requested_at is not None and not held.was_unlisted:
             # The stop may have been carried out but not yet answered.
             held.was_unlisted = True
-            held.listed_after = now + self.stop_s + STOP_MARGIN_S
+            held.listed_after = now + self.stop_limit_s
             return
         default = RunEnd.LAPSED if held.started else RunEnd.REFUSED
         yield held, held.requested_end or default, evidence
@@ -275,19 +280,17 @@
             return None
         if held.listed_after is not None:
             return Evidence.UNLISTED if held.listed_after < sent else None
+        if not held.stop_sent or held.lease_until_ms is None:
+            return None
         # The executor rejects a start whose lease has expired.
-        is_too_late = (
-            held.stop_sent
-            and held.start_sent
-            and self.clock.is_past(held.lease_until_ms, sent)
-        )
+        is_too_late = self.clock.is_past(held.lease_until_ms, sent)
         return Evidence.LEASE if is_too_late else None
 
     def _follow_unknown_runs(
         self, keys: set[tuple[str, int]], now: float
     ) -> None:
         if self.unknown_runs - keys:
-            self.unknown_runs_until = now + self.stop_s + STOP_MARGIN_S
+            self.unknown_runs_until = now + self.stop_limit_s
         if keys and not self.unknown_runs:
             self.unknown_runs_since = now
         self.unknown_runs = keys
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -31,7 +31,7 @@
     StartOrder,
     StartReply,
 )
-from limpetlanding.runs.room import MAX_LEASE_MS, STOP_MARGIN_S, Room
+from limpetlanding.runs.room import Room
 from limpetlanding.runs.tracked_run import (
     Evidence,
     RunResult,
@@ -124,7 +124,6 @@
         clock: Callable[[], float] | None = None,
     ) -> None:
         self.port = port
-        self.stop_s = stop_s
         self.on_end = on_end
         self.on_change = on_change
         # Returns the time, in monotonic seconds, of the last message of the
@@ -345,8 +344,7 @@
                 successor, capacity=Resources(), draining=False, sequence=-1
             )
         self._begin_incarnation(successor)
-        self.room.clock.record(inventory.clock_ms, self.loop.time())
-        self.room.last_lease_ms = inventory.clock_ms + MAX_LEASE_MS
+        self.room.assume_longest_lease(inventory.clock_ms, self.loop.time())
 
     def _end_lost_runs(
         self, kind: LossKind, evidence: Evidence, ended: list[TrackedRun]
@@ -552,7 +550,7 @@
         if not was_accepting:
             self.on_change()
         numbers = [end.number for end in inventory.ended]
-        self.acknowledged = max(self.acknowledged, *numbers, 0)
+        self.acknowledged = max([self.acknowledged, *numbers])
         for held, how, evidence in endings:
             self._finish(held, how, evidence)
         for run in inventory.active:
@@ -569,7 +567,7 @@
             )
             self.on_change()
         if known - unknown:
-            self.loop.call_later(self.stop_s + STOP_MARGIN_S, self.on_change)
+            self.loop.call_later(self.room.stop_limit_s, self.on_change)
         for key in sorted(unknown - known):
             self.background.spawn(self._stop_unknown_run(*key))
 
@@ -603,7 +601,7 @@
             if reply.refusal != 'expired':
                 self._handle_start_reply(held, reply)
                 return
-            self.room.record_not_started(held)
+            self.room.record_answered(held)
         self._finish(held, RunEnd.REFUSED, Evidence.START_REFUSED)
 
     def _withheld_reason(self, held: TrackedRun, generation: int) -> str:
@@ -645,7 +643,7 @@
         except ExecutorDown as error:
             # The order never reached the executor, so the run need not be
             # stopped, and has no part in the loss of the executor.
-            self.room.record_not_started(held)
+            self.room.record_answered(held)
             self._note_missing_answer()
             logger.bind(
                 request_id=held.job_id, task=held.task, run=held.run
@@ -682,7 +680,7 @@
             self.room.record_started(held, now)
             self.wake.set()
             return
-        self.room.record_not_started(held)
+        self.room.record_answered(held)
         suspect = reply.refusal == 'unhealthy'
         # A run that was stopped before its start arrived is outdated, too.
         is_outdated = reply.refusal == 'outdated'
@@ -701,10 +699,8 @@
                 return
 
     async def _stop_unknown_run(self, task: str, run: int) -> None:
-        while (
-            task,
-            run,
-        ) in self.room.unknown_runs and self.executor is not None:
+        key = task, run
+        while key in self.room.unknown_runs and self.executor is not None:
             if await self._send_stop(task, run):
                 return
 
--- a/src/limpetlanding/runs/tests/test_room.py
+++ b/src/limpetlanding/runs/tests/test_room.py
@@ -27,7 +27,7 @@
     """Return a room whose executor has answered at 0 s."""
     room = Room(FENCE, STOP_S)
     room.begin_incarnation(ALL)
-    assert not room.take_inventory(answer(0), FENCE, 0, 0)
+    assert not room.take_inventory(answer(0), room.fence, 0, 0)
     return room
 
 
@@ -121,7 +121,7 @@
         held = run_whose_start_is_sent(room, 1)
         assert room.release(held)
         assert room.refusal_reason(ALL, 1.1)
-        assert not room.take_inventory(answer(1.2), FENCE, 1.2, 1.2)
+        assert not room.take_inventory(answer(1.2), held.start_fence, 1.2, 1.2)
         assert room.refusal_reason(ALL, 1.2)
         take(room, 1.3)
         assert not room.refusal_reason(ALL, 1.3)
--- a/src/limpetlanding/runs/tracked_run.py
+++ b/src/limpetlanding/runs/tracked_run.py
@@ -62,7 +62,6 @@
     checkpoint: str = ''
     estimate_ms: float = 0
     ordered_at: float = inf
-    start_sent: bool = False
     # The start may still be carried out: it is on its way or was not answered.
     start_pending: bool = False
     # Fencing token of the last attempt to start the run.
@@ -72,7 +71,8 @@
     # ended or can never start.
     listed_after: float | None = None
     started_at: float = 0
-    lease_until_ms: int = 0
+    # End of the lease in the last start that was sent; None before.
+    lease_until_ms: int | None = None
     percent: float = -1
     progress_at: float = 0
     requested_end: RunEnd | None = None
--- a/src/limpetlanding/standin/platform_executor.py
+++ b/src/limpetlanding/standin/platform_executor.py
@@ -152,10 +152,10 @@
     def app(self) -> web.Application:
         """Return the application that serves the executor's calls."""
         app = web.Application()
-        app.router.add_post('/api/run-start', self._serve(self._start, True))
-        app.router.add_post('/api/run-stop', self._serve(self._stop, True))
+        for name, handler in self._handlers().items():
+            serve = self._serve(handler, is_order=name != 'hold')
+            app.router.add_post(f'/api/{name}', serve)
         app.router.add_get('/health', self._health)
-        app.router.add_post('/api/hold', self._serve(self._hold, False))
         return app
 
     def change_capacity(self, cpu: int) -> None:
@@ -237,13 +237,16 @@
         expected : str or None
             Id of the executor that the call is meant for.
         """
-        handlers = {
+        handler = self._handlers()[name]
+        response = await self._execute(handler, fields, expected)
+        return response.status, response.body or b''
+
+    def _handlers(self) -> dict[str, Any]:
+        return {
             'run-start': self._start,
             'run-stop': self._stop,
             'hold': self._hold,
         }
-        response = await self._execute(handlers[name], fields, expected)
-        return response.status, response.body or b''
 
     def _serve(self, handler: Any, is_order: bool) -> Any:
         async def serve(request: web.Request) -> web.StreamResponse:
