Measure the wait of a client by a clock that counts suspensions

Cause: the deadline of a job was kept in time of the event loop, which stands still while the machine is suspended, so that a front started what waited before, however long ago the client had left. One more case: a job with runs was never given up on placement, so that its other tasks started after the deadline. Change: the dispatcher keeps the times of jobs on the clock of the node, which counts suspensions, and gives up a job on placement once its client's wait is over.

--- a/src/limpetlanding/platform/tests/test_late_messages.py
+++ b/src/limpetlanding/platform/tests/test_late_messages.py
@@ -123,10 +123,6 @@
 class TestFrontsThatActLate:
     """Guards against a front that acts for a job that it has lost."""
 
-    @pytest.mark.xfail(
-        strict=True,
-        reason='KNOWN-RED: the wait of a client does not count a suspension',
-    )
     async def test_front_does_not_start_tasks_of_a_client_that_has_left(self):
         async with System(worker_count=1).run() as system:
             fields = system.executors[0].announcement()
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -117,12 +117,22 @@
         The workers that this front knows.
     rng : random.Random
         Spreads the times after which refused clients return.
+    clock : callable, optional
+        Returns seconds of a clock that runs on while the machine is
+        suspended, by which clients wait; by default the time of the event
+        loop.
     """
 
-    def __init__(self, fleet: Fleet, rng: Random) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        rng: Random,
+        clock: Callable[[], float] | None = None,
+    ) -> None:
         self.fleet = fleet
         self.rng = rng
         self.loop = asyncio.get_running_loop()
+        self.now = clock or self.loop.time
         self.jobs: dict[str, ActiveJob] = {}
         self.ended_jobs: dict[str, ActiveJob] = {}
         self.cancelled: set[str] = set()
@@ -259,9 +269,9 @@
         view = self.fleet.views.get(channel)
         return view is not None and bool(view.runs)
 
-    def has_shortage(self, now: float) -> bool:
+    def has_shortage(self) -> bool:
         """Tell whether tasks have recently waited for want of room."""
-        return now - self.shortage_at < SHORTAGE_MEMORY_S
+        return self.now() - self.shortage_at < SHORTAGE_MEMORY_S
 
     def forget_worker(self, channel: Channel) -> None:
         """Remove a worker without runs that this front has released."""
@@ -356,7 +366,7 @@
     def _add_job(
         self, job: Job, queue: Queue, wait_s: float, version: int
     ) -> ActiveJob:
-        now = self.loop.time()
+        now = self.now()
         active = ActiveJob(
             job,
             queue,
@@ -386,7 +396,9 @@
             active.outcome.set_result(JobState.COMPLETED)
         self.placement_needed.set()
         # Without reports of workers there is no pass that would refuse it.
-        self.loop.call_at(active.useful_until, self.placement_needed.set)
+        self.loop.call_later(
+            active.useful_until - now, self.placement_needed.set
+        )
         return active
 
     def _unfinished_error(self, active: ActiveJob) -> LimpetlandingError:
@@ -396,7 +408,7 @@
         pool = active.queue.pool
         if active.has_run:
             return JobAbandoned(detail, step='dispatch', peer=pool)
-        waited_s = self.loop.time() - active.submitted_at
+        waited_s = self.now() - active.submitted_at
         return JobNotStarted(
             detail,
             step='dispatch',
@@ -423,7 +435,7 @@
                 self.background.spawn(self._stop_runs(view, keys, why))
 
     def _record_answer(self, active: ActiveJob, answer: str) -> None:
-        now = self.loop.time()
+        now = self.now()
         self.counts[f'jobs_{answer.replace(" ", "_")}'] += 1
         wait_s = None
         if active.first_ordered_at is not None:
@@ -448,7 +460,7 @@
             self.ended_jobs.pop(active.job.job_id)
 
     def _place_waiting(self) -> None:
-        now = self.loop.time()
+        now = self.now()
         jobs = [
             active
             for active in self.jobs.values()
@@ -524,7 +536,7 @@
         self, active: ActiveJob, chosen: Assignment, is_trial: bool
     ) -> None:
         if chosen and active.first_ordered_at is None:
-            active.first_ordered_at = self.loop.time()
+            active.first_ordered_at = self.now()
         active.unanswered_orders += len(chosen)
         for view, tasks in chosen.items():
             self.background.spawn(
@@ -563,7 +575,7 @@
             free_cpu=view.free.cpu,
             run_ratio=round(view.report.run_ratio, 2),
             report_age_ms=round((self.loop.time() - view.reported_at) * 1000),
-            slack_ms=round((active.due_at - self.loop.time()) * 1000),
+            slack_ms=round((active.due_at - self.now()) * 1000),
         ).info('runs ordered')
         try:
             reply = await view.channel.request(message, ORDER_TIMEOUT_S)
@@ -610,7 +622,7 @@
                 # The worker has the resources, so that its report does not show
                 # why it refuses this task.
                 task.excluded_until[view.name] = (
-                    self.loop.time() + REFUSED_TASK_PAUSE_S
+                    self.now() + REFUSED_TASK_PAUSE_S
                 )
                 self.loop.call_later(
                     REFUSED_TASK_PAUSE_S, self.placement_needed.set
--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -71,7 +71,7 @@
         self.loop = asyncio.get_running_loop()
         self.catalogs = CatalogHolder(self._broadcast_catalog)
         self.fleet = Fleet(node.hello.failure_domain)
-        self.dispatcher = Dispatcher(self.fleet, rng)
+        self.dispatcher = Dispatcher(self.fleet, rng, node.clock)
         self.dispatcher.on_loss = self._share_loss
         self.subset = WorkerSubset(node.hello.node, node.hello.failure_domain)
         self.subset_outdated = asyncio.Event()
@@ -255,7 +255,7 @@
         now = self.loop.time()
         channels = {x.peer.address: x for x in self.node.connected('worker')}
         change = self.subset.update(
-            now, channels, self.dispatcher.has_shortage(now)
+            now, channels, self.dispatcher.has_shortage()
         )
         released = [x for x in change.release if self._release_worker(x)]
         for address in change.dial:
--- a/src/limpetlanding/runs/refusal.py
+++ b/src/limpetlanding/runs/refusal.py
@@ -43,8 +43,11 @@
     """Tell whether the waiting tasks cannot end before the client leaves.
 
     Other than a hopeless job, the job may have run. Its client gets an answer
-    at once, and its tasks take no room from jobs that can be answered.
+    at once, and its tasks take no room from jobs that can be answered. After a
+    suspension of this machine the client may have left long ago.
     """
+    if now > active.waits_until:
+        return True
     run_s = ESTIMATE_TOLERANCE * active.longest_waiting_s * run_ratio
     return not active.placed and now > active.waits_until - run_s
 
--- a/src/limpetlanding/runs/tests/test_refusal.py
+++ b/src/limpetlanding/runs/tests/test_refusal.py
@@ -255,6 +255,12 @@
         active.place(active.waiting.pop(), 'w1')
         assert not cannot_end_in_time(active, 5, 1)
 
+    async def test_job_with_runs_is_given_up_once_its_client_has_left(self):
+        # Guards against starts after a suspension beyond the deadline.
+        active = new_job(run_ms=400, wait_s=5)
+        active.place(active.waiting.pop(), 'w1')
+        assert cannot_end_in_time(active, 5.1, 1)
+
     async def test_late_job_is_not_started_where_it_would_be_useless(self):
         active = new_job(run_ms=400)
         assert max_useful_ratio(active, 1.3) == pytest.approx(0.8 / 0.32)
