Send no order again whose job has ended

Cause: an order without an answer is sent again over the next link to its worker, also if the job has ended meanwhile; the request to stop follows it. Change: a request can be withdrawn: the channel asks before each sending whether it is still wanted, the first one included. A front withdraws the orders of jobs that have ended. The check that only covered the first sending is gone. Tests: test_order_is_not_repeated_over_the_next_link failed before; the tests of withdrawn requests are new.

--- a/src/limpetlanding/errors.py
+++ b/src/limpetlanding/errors.py
@@ -47,5 +47,22 @@
     """
 
 
+class RequestWithdrawn(LimpetlandingError):
+    """The request was no longer wanted before it could be sent.
+
+    Parameters
+    ----------
+    sent : bool
+        Whether it was sent before, over a link that was lost, so that the peer
+        may have handled it.
+    """
+
+    def __init__(
+        self, detail: str, *, step: str, peer: str = '', sent: bool
+    ) -> None:
+        super().__init__(detail, step=step, peer=peer)
+        self.sent = sent
+
+
 class ProtocolError(LimpetlandingError):
     """A frame or message violates the internal protocol."""
--- /dev/null
+++ b/src/limpetlanding/platform/tests/test_resubmissions.py
@@ -0,0 +1,43 @@
+"""End-to-end tests of starts for clients that have left or sent a job again."""
+
+import asyncio
+
+from limpetlanding.platform.tests.faulty_system import (
+    FaultySystem,
+    link_address,
+)
+from limpetlanding.platform.tests.rig import body
+
+JOB = '5c0e7a21d94b36f8'
+WAIT_MS = 6000
+START_S = 0.1
+# Within the time for an answer to an order.
+UNLINKED_S = 0.2
+
+
+def submit(system):
+    """Submit a job of one task in the background."""
+    content = body(1, estimateMs=2000)
+    return asyncio.create_task(system.submit(JOB, content, WAIT_MS))
+
+
+class TestOrderInTransit:
+    """Guards against orders that are sent after their job has ended."""
+
+    async def test_order_is_not_repeated_over_the_next_link(self):
+        async with FaultySystem(worker_count=1).run() as system:
+            (link,) = system.links_between('f0', 'w0')
+            link.stall()
+            job = submit(system)
+            await asyncio.sleep(START_S)
+            ends = link_address('f0'), link_address('w0')
+            system.network.refused |= {ends, ends[::-1]}
+            link.reset()
+            job.cancel()
+            await asyncio.sleep(UNLINKED_S)
+            system.network.refused.clear()
+            await system.settle(1)
+            assert system.links_between('f0', 'w0')
+            (worker,) = system.workers
+            assert not worker.starts.job_id
+            assert not system.history()
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -15,7 +15,11 @@
 
 from loguru import logger
 
-from limpetlanding.errors import LimpetlandingError, PeerLost
+from limpetlanding.errors import (
+    LimpetlandingError,
+    PeerLost,
+    RequestWithdrawn,
+)
 from limpetlanding.runs.background import BackgroundTasks
 from limpetlanding.runs.fleet import Fleet, WorkerView
 from limpetlanding.runs.jobs import (
@@ -551,13 +555,6 @@
         is_trial: bool,
     ) -> None:
         keys = {task.name: run_key(task.name, task.run) for task in tasks}
-        if active.ended:
-            # The client has left since the tasks were assigned.
-            active.unanswered_orders -= 1
-            for key in keys.values():
-                view.settle_order(key)
-                self._return_to_waiting(view, key)
-            return
         message = StartRuns(
             active.job.job_id,
             active.queue.pool,
@@ -565,6 +562,32 @@
             [_run_order(task) for task in tasks],
             is_trial,
         )
+        if not active.ended:
+            self._record_order(active, view, tasks, is_trial)
+        try:
+            reply = await view.channel.request(
+                message, ORDER_TIMEOUT_S, lambda: not active.ended
+            )
+        except RequestWithdrawn as error:
+            self._handle_withdrawn_order(active, view, keys, error)
+        except LimpetlandingError as error:
+            self._handle_lost_order(active, view, keys, error)
+        else:
+            active.may_have_run |= bool(reply.taken)
+            self._handle_order_reply(view, tasks, keys, reply)
+        finally:
+            active.unanswered_orders -= 1
+            for key in keys.values():
+                view.settle_order(key)
+            self.placement_needed.set()
+
+    def _record_order(
+        self,
+        active: ActiveJob,
+        view: WorkerView,
+        tasks: list[ActiveTask],
+        is_trial: bool,
+    ) -> None:
         self.counts['orders'] += 1
         logger.bind(
             request_id=active.job.job_id,
@@ -577,26 +600,27 @@
             report_age_ms=round((self.loop.time() - view.reported_at) * 1000),
             slack_ms=round((active.due_at - self.now()) * 1000),
         ).info('runs ordered')
-        try:
-            reply = await view.channel.request(message, ORDER_TIMEOUT_S)
-        except PeerLost as error:
-            self._handle_lost_order(active, view, error)
-        except LimpetlandingError as error:
-            self._handle_lost_order(active, view, error)
-            self.background.spawn(
-                self._stop_runs(view, list(keys.values()), 'no answer')
-            )
-        else:
-            active.may_have_run |= bool(reply.taken)
-            self._handle_order_reply(view, tasks, keys, reply)
-        finally:
-            active.unanswered_orders -= 1
+
+    def _handle_withdrawn_order(
+        self,
+        active: ActiveJob,
+        view: WorkerView,
+        keys: dict[str, str],
+        error: RequestWithdrawn,
+    ) -> None:
+        """Process an order whose job ended before it could be sent."""
+        active.may_have_run |= error.sent
+        # If it was sent before, the end of the job stops what it started.
+        if not error.sent:
             for key in keys.values():
-                view.settle_order(key)
-            self.placement_needed.set()
+                self._return_to_waiting(view, key)
 
     def _handle_lost_order(
-        self, active: ActiveJob, view: WorkerView, error: Exception
+        self,
+        active: ActiveJob,
+        view: WorkerView,
+        keys: dict[str, str],
+        error: LimpetlandingError,
     ) -> None:
         active.may_have_run = True
         logger.bind(
@@ -604,6 +628,10 @@
             peer=view.name,
             report_age_ms=round((self.loop.time() - view.reported_at) * 1000),
         ).info('order without answer: {}', error)
+        if not isinstance(error, PeerLost):
+            self.background.spawn(
+                self._stop_runs(view, list(keys.values()), 'no answer')
+            )
 
     def _handle_order_reply(
         self,
--- a/src/limpetlanding/wire/channel.py
+++ b/src/limpetlanding/wire/channel.py
@@ -17,6 +17,7 @@
     PeerLost,
     ProtocolError,
     RequestTimeout,
+    RequestWithdrawn,
 )
 from limpetlanding.lifecycle import Lifecycle, PeerState
 from limpetlanding.wire.codec import Frame, FrameKind, tag_of
@@ -54,6 +55,7 @@
     message: Any
     answer: asyncio.Future[Any]
     created_at: float
+    is_wanted: Callable[[], bool]
     link: Link | None = None
     sent: bool = False
 
@@ -142,15 +144,32 @@
         """Whether no request is in progress and there is no other work."""
         return not (self.pending or self.served_requests or self.has_work())
 
-    async def request(self, message: Any, timeout_s: float) -> Any:
+    async def request(
+        self,
+        message: Any,
+        timeout_s: float,
+        is_wanted: Callable[[], bool] | None = None,
+    ) -> Any:
         """Send a request and return the reply.
 
         If the link is lost before the reply arrives, the request is sent again
         on another link. If the message has a field ``deadline_ms``, a request
         that is sent late or again carries the time that is left by then.
 
+        Parameters
+        ----------
+        message : Any
+            The request.
+        timeout_s : float
+            Time limit for the reply, in seconds.
+        is_wanted : callable, optional
+            Asked each time before the request is sent; it is withdrawn if the
+            answer is no.
+
         Raises
         ------
+        RequestWithdrawn
+            If the request is not wanted any more when it is to be sent.
         PeerLost
             If the channel is closed because the incarnation is gone.
         RequestTimeout
@@ -165,7 +184,9 @@
             raise PeerLost('the peer is gone', step=step, peer=self.peer.node)
         number = next(self.request_numbers)
         answer = self.loop.create_future()
-        pending = _PendingRequest(message, answer, self.loop.time())
+        pending = _PendingRequest(
+            message, answer, self.loop.time(), is_wanted or _always
+        )
         self.pending[number] = pending
         timer = self.loop.call_later(
             timeout_s, _expire, answer, step, self.peer.node
@@ -259,6 +280,9 @@
                 )
 
     def _transmit(self, number: int, pending: _PendingRequest) -> None:
+        if not pending.is_wanted():
+            self._withdraw(pending)
+            return
         message = _with_time_left(
             pending.message, self.loop.time() - pending.created_at
         )
@@ -271,6 +295,17 @@
                 pending.sent = True
                 return
 
+    def _withdraw(self, pending: _PendingRequest) -> None:
+        self.counters.events['requests_withdrawn'] += 1
+        pending.answer.set_exception(
+            RequestWithdrawn(
+                'not wanted any more',
+                step=tag_of(pending.message),
+                peer=self.peer.node,
+                sent=pending.sent,
+            )
+        )
+
     def _send_unsent_requests(self) -> None:
         for number, pending in list(self.pending.items()):
             if pending.link is None and not pending.answer.done():
@@ -387,6 +422,11 @@
     """Do nothing; used until the owner has set its callback."""
 
 
+def _always() -> bool:
+    """Return True; used for requests that are always wanted."""
+    return True
+
+
 def _no_work() -> bool:
     """Return False; used until the owner has set its condition."""
     return False
--- a/src/limpetlanding/wire/tests/test_node.py
+++ b/src/limpetlanding/wire/tests/test_node.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from limpetlanding.errors import PeerLost, RequestTimeout
+from limpetlanding.errors import PeerLost, RequestTimeout, RequestWithdrawn
 from limpetlanding.wire import (
     Ack,
     CancelJob,
@@ -371,6 +371,54 @@
             assert await channel.request(locate(), 0.01)
 
 
+class TestWithdrawnRequests:
+    """Guards against requests that are sent although their cause is gone."""
+
+    async def test_request_is_not_repeated_on_the_next_link(self):
+        async with run_cluster() as cluster:
+            _, second, channel = await cluster.pair()
+            is_wanted = True
+            connection = cluster.network.connections[0]
+            connection.stall()
+            asked = asyncio.create_task(
+                channel.request(locate('x'), 10, lambda: is_wanted)
+            )
+            await asyncio.sleep(0.1)
+            is_wanted = False
+            connection.reset()
+            with pytest.raises(RequestWithdrawn) as withdrawn:
+                await asked
+            assert withdrawn.value.sent
+            assert not second.handler.asked
+
+    async def test_request_that_waited_for_a_link_is_not_sent(self):
+        async with run_cluster() as cluster:
+            _, second, channel = await cluster.pair()
+            cluster.network.connections[0].reset()
+            await asyncio.sleep(0.01)
+            assert not channel.links
+            asked = asyncio.create_task(
+                channel.request(locate('x'), 10, lambda: False)
+            )
+            with pytest.raises(RequestWithdrawn) as withdrawn:
+                await asked
+            assert not withdrawn.value.sent
+            assert not second.handler.asked
+
+    async def test_request_that_is_wanted_is_repeated(self):
+        async with run_cluster() as cluster:
+            _, second, channel = await cluster.pair()
+            connection = cluster.network.connections[0]
+            connection.stall()
+            asked = asyncio.create_task(
+                channel.request(locate('x'), 10, lambda: True)
+            )
+            await asyncio.sleep(0.1)
+            connection.reset()
+            assert (await asked).incarnation == 'x'
+            assert second.handler.asked == [locate('x')]
+
+
 class TestRepeatedRequests:
     async def test_running_request_is_joined_and_answered_once(self):
         # Guards against starting work a second time when the request is
