End the runs of a lost front before its clients return

Cause: the lease of an executor is shortened by the silence of a front, but the silence counted only as long as the worker had a channel to that front. Once the channel was closed, the lease grew again, to the age of the stops that followed. With stops that are carried out late, a run ended 1.6 s after its front was cut off. Change: the stop of a run whose front is lost counts from when the front was last heard. Test: test_runs_end_although_their_stops_are_late failed before (the run was still there after 1.3 s).

--- a/src/limpetlanding/platform/tests/test_resubmissions.py
+++ b/src/limpetlanding/platform/tests/test_resubmissions.py
@@ -11,6 +11,10 @@
 JOB = '5c0e7a21d94b36f8'
 WAIT_MS = 6000
 START_S = 0.1
+WORK_S = 3
+LATE_STOP_S = 4
+# Time after which the platform's clients send a job again.
+RESUBMISSION_DELAY_S = 1.3
 # Within the time for an answer to an order.
 UNLINKED_S = 0.2
 
@@ -21,6 +25,25 @@
     return asyncio.create_task(system.submit(JOB, content, WAIT_MS))
 
 
+async def cut_off_late_worker(system):
+    """Cut a front off from the worker that runs its job, and delay its stops.
+
+    Returns
+    -------
+    StandinExecutor
+        The executor of the worker.
+    """
+    await asyncio.sleep(START_S)
+    (number,) = (x for x in range(2) if system.executors[x].runs)
+    executor = system.executors[number]
+    executor.faults.late_orders_s = LATE_STOP_S
+    ends = link_address('f0'), link_address(f'w{number}')
+    system.network.refused |= {ends, ends[::-1]}
+    for link in system.links_between('f0', f'w{number}'):
+        link.silence()
+    return executor
+
+
 class TestOrderInTransit:
     """Guards against orders that are sent after their job has ended."""
 
@@ -41,3 +64,17 @@
             (worker,) = system.workers
             assert not worker.starts.job_id
             assert not system.history()
+
+
+class TestLostFront:
+    """Guards against runs that outlast the return of their client."""
+
+    async def test_runs_end_although_their_stops_are_late(self):
+        async with FaultySystem().run() as system:
+            for executor in system.executors:
+                executor.work_s = lambda _: WORK_S
+            job = submit(system)
+            executor = await cut_off_late_worker(system)
+            job.cancel()
+            await asyncio.sleep(RESUBMISSION_DELAY_S)
+            assert not executor.runs
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -253,11 +253,25 @@
             held.stop_requested_at = self.loop.time()
             self.background.spawn(self._stop(held))
 
-    def stop_owner(self, owner: str) -> int:
-        """Stop all runs of one front; return their number."""
+    def stop_owner(self, owner: str, heard_at: float) -> int:
+        """Stop all runs of one front that is lost; return their number.
+
+        Parameters
+        ----------
+        owner : str
+            Incarnation of the front.
+        heard_at : float
+            When its last message was read, in monotonic seconds. The lease is
+            shortened from then on, as it was before the front was lost.
+        """
         owned = [run for run in self.runs.values() if run.owner == owner]
+        overdue_since = heard_at + MAX_OWNER_SILENCE_S
         for held in owned:
             self.stop(held)
+            if held.stop_requested_at is not None:
+                held.stop_requested_at = min(
+                    held.stop_requested_at, overdue_since
+                )
         return len(owned)
 
     def has_runs_of(self, owner: str) -> bool:
--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -411,7 +411,9 @@
             channel.notify(self.catalogs.update_message())
 
     def _peer_down(self, channel: Channel) -> None:
-        stopped = self.supervisor.stop_owner(channel.peer.incarnation)
+        stopped = self.supervisor.stop_owner(
+            channel.peer.incarnation, channel.heard_at
+        )
         logger.bind(
             step='front', peer=channel.peer.node, runs_stopped=stopped
         ).info('front lost')
