Start no job again before its earlier runs have ended

Cause: after 1.2 s the front started the tasks of the new submission, whether or not the runs of the earlier one had ended. The time that the client had waited until then was also added to its deadline. Without proof the answer is 504, since the job may run. The wait counts against the deadline. Tests: test_job_that_is_sent_again_waits_for_its_lost_runs failed before; no overlap is known that the earlier wait let happen since the runs of a lost front end in time.

--- a/src/limpetlanding/platform/tests/test_resubmissions.py
+++ b/src/limpetlanding/platform/tests/test_resubmissions.py
@@ -7,6 +7,8 @@
     link_address,
 )
 from limpetlanding.platform.tests.rig import body
+from limpetlanding.runs.dispatcher import LOST_RUNS_TIMEOUT_S
+from limpetlanding.standin.platform_checks import overlapping_runs
 
 JOB = '5c0e7a21d94b36f8'
 WAIT_MS = 6000
@@ -15,14 +17,16 @@
 LATE_STOP_S = 4
 # Time after which the platform's clients send a job again.
 RESUBMISSION_DELAY_S = 1.3
+OK = 200
+TIMED_OUT = 504
 # Within the time for an answer to an order.
 UNLINKED_S = 0.2
 
 
-def submit(system):
+def submit(system, wait_ms=WAIT_MS):
     """Submit a job of one task in the background."""
     content = body(1, estimateMs=2000)
-    return asyncio.create_task(system.submit(JOB, content, WAIT_MS))
+    return asyncio.create_task(system.submit(JOB, content, wait_ms))
 
 
 async def cut_off_late_worker(system):
@@ -66,6 +70,33 @@
             assert not system.history()
 
 
+class TestSameFront:
+    """Guards against starts before the runs of a submission have ended."""
+
+    async def test_job_that_is_sent_again_waits_for_its_lost_runs(self):
+        async with FaultySystem().run() as system:
+            for executor in system.executors:
+                executor.work_s = lambda _: WORK_S
+            job = submit(system)
+            await cut_off_late_worker(system)
+            job.cancel()
+            again = submit(system)
+            await asyncio.sleep(LOST_RUNS_TIMEOUT_S)
+            assert len(system.history()) == 1
+            assert (await again)[0] == OK
+            assert not overlapping_runs(system.history())
+
+    async def test_client_that_waits_for_less_is_not_told_not_run(self):
+        async with FaultySystem().run() as system:
+            for executor in system.executors:
+                executor.work_s = lambda _: WORK_S
+            job = submit(system)
+            await cut_off_late_worker(system)
+            job.cancel()
+            assert (await submit(system, wait_ms=1000))[0] == TIMED_OUT
+            assert len(system.history()) == 1
+
+
 class TestLostFront:
     """Guards against runs that outlast the return of their client."""
 
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -9,7 +9,6 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
-from contextlib import suppress
 from math import inf
 from random import Random
 
@@ -84,9 +83,9 @@
 """How long the run numbers of an ended job, and the ids of cancelled jobs, are
 kept for resubmissions."""
 
-MAX_RESUBMISSION_WAIT_S = 1.2
+MAX_RESUBMISSION_WAIT_S = 0.45 + 0.3 + LOST_RUNS_TIMEOUT_S + 0.1
 """Longest wait of a resubmission until the runs of the earlier submission have
-ended."""
+ended: the time until a worker is lost, and then until its runs are."""
 
 
 class JobNotStarted(LimpetlandingError):
@@ -197,21 +196,22 @@
             have been started.
         JobAbandoned
             If the job did not end in time, or the front stops, but a task may
-            have been started.
+            have been started; or if runs of an earlier submission go on.
         """
         if job.job_id in self.cancelled:
             return JobState.FAILED
+        submitted_at = self.now()
         if job.job_id not in self.jobs:
-            await self._wait_for_earlier(job.job_id)
+            await self._wait_for_earlier(job.job_id, wait_s)
         active = self.jobs.get(job.job_id)
         if active is None:
             if self._has_deadly_task(job.job_id):
                 return JobState.FAILED
-            active = self._add_job(job, queue, wait_s, version)
+            active = self._add_job(job, queue, wait_s, version, submitted_at)
         active.waiting_clients += 1
         answer = 'client gone'
         try:
-            async with asyncio.timeout(wait_s):
+            async with asyncio.timeout(submitted_at + wait_s - self.now()):
                 state = await asyncio.shield(active.outcome)
             answer = state.value
             return state
@@ -359,22 +359,43 @@
         ).info('job given up: its task crashes executors')
         return True
 
-    async def _wait_for_earlier(self, job_id: str) -> None:
+    async def _wait_for_earlier(self, job_id: str, wait_s: float) -> None:
+        """Wait until the runs of an earlier submission have ended.
+
+        Raises
+        ------
+        JobAbandoned
+            If they have not ended in time.
+        """
         earlier = self.ended_jobs.get(job_id)
         if earlier is None or not earlier.placed:
             return
-        with suppress(TimeoutError):
-            async with asyncio.timeout(MAX_RESUBMISSION_WAIT_S):
+        try:
+            async with asyncio.timeout(min(wait_s, MAX_RESUBMISSION_WAIT_S)):
                 await earlier.no_runs_left.wait()
+        except TimeoutError:
+            self.counts['jobs_earlier_runs_left'] += 1
+            detail = f'{len(earlier.placed)} earlier runs have not ended'
+            logger.bind(request_id=job_id, step='submit').info(
+                'job not accepted: {}', detail
+            )
+            raise JobAbandoned(
+                detail, step='submit', peer=earlier.queue.pool
+            ) from None
 
     def _add_job(
-        self, job: Job, queue: Queue, wait_s: float, version: int
+        self,
+        job: Job,
+        queue: Queue,
+        wait_s: float,
+        version: int,
+        submitted_at: float,
     ) -> ActiveJob:
         now = self.now()
         active = ActiveJob(
             job,
             queue,
-            now,
+            submitted_at,
             version,
             self.loop.create_future(),
             wait_s,
