Order no task for a client whose connection has been closed

Cause: a busy front reads a request whose connection has been reset already, orders its tasks in the same pass and reads the reset some ms later, so that the tasks start and are stopped. The client has meanwhile sent the job to another front, at once: a request that was cut before its front had read it is sent again without the 1.3 s. Change: before each sending of an order the front asks the kernel whether the client still holds its connection (poll for POLLRDHUP); if not, the order is withdrawn and the job ends. The tests of the front use a replaced is_connected.

--- /dev/null
+++ b/src/limpetlanding/lifecycle/connections.py
@@ -0,0 +1,28 @@
+"""State of client connections as the kernel knows it."""
+
+import select
+
+from aiohttp import web
+
+
+def is_connected(request: web.Request) -> bool:
+    """Tell whether the client of a request still holds its connection.
+
+    A busy event loop may read a request long before it reads that the
+    connection has been closed or reset, so this asks the kernel. A transport
+    without a descriptor of the kernel counts as connected until it closes.
+
+    Parameters
+    ----------
+    request : aiohttp.web.Request
+        A request that has not been answered.
+    """
+    transport = request.transport
+    if transport is None or transport.is_closing():
+        return False
+    descriptor = transport.get_extra_info('socket').fileno()
+    if not isinstance(descriptor, int):
+        return True
+    poller = select.poll()
+    poller.register(descriptor, select.POLLRDHUP)
+    return not poller.poll(0)
--- a/src/limpetlanding/platform/ingress.py
+++ b/src/limpetlanding/platform/ingress.py
@@ -1,11 +1,13 @@
 """HTTP interface of a front for clients and the load balancer."""
 
 import re
+from functools import partial
 
 import orjson
 from aiohttp import web
 from loguru import logger
 
+from limpetlanding.lifecycle.connections import is_connected
 from limpetlanding.platform.decode import (
     MAX_NUMBER,
     Malformed,
@@ -99,7 +101,11 @@
         return _refused_by_stop(front, job_id)
     try:
         state = await front.dispatcher.submit(
-            job, queue, wait_s, catalog.version
+            job,
+            queue,
+            wait_s,
+            catalog.version,
+            partial(is_connected, request),
         )
     except JobNotStarted as error:
         return _service_unavailable(error.detail, error.retry_after_s)
--- a/src/limpetlanding/platform/tests/test_resubmissions.py
+++ b/src/limpetlanding/platform/tests/test_resubmissions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from limpetlanding.platform import ingress
 from limpetlanding.platform.tests.faulty_system import (
     FaultySystem,
     link_address,
@@ -70,6 +71,39 @@
             assert not system.history()
 
 
+class TestClientThatHasLeft:
+    """Guards against starts for a client whose close has not been read yet.
+
+    Such a client may have sent its job to another front at once.
+    """
+
+    async def test_job_is_not_started(self, monkeypatch):
+        monkeypatch.setattr(ingress, 'is_connected', lambda _: False)
+        async with FaultySystem().run() as system:
+            job = submit(system)
+            await system.settle(1)
+            assert not system.history()
+            assert not system.fronts[0].dispatcher.jobs
+            assert not any(worker.starts.job_id for worker in system.workers)
+            job.cancel()
+
+    async def test_task_is_not_started_after_a_refusal(self, monkeypatch):
+        async with FaultySystem(worker_count=1).run() as system:
+            for executor in system.executors:
+                executor.work_s = lambda _: WORK_S
+            filling = asyncio.create_task(
+                system.submit('f' * 16, body(1, cpu=30_000), WAIT_MS)
+            )
+            await asyncio.sleep(START_S)
+            job = submit(system)
+            await asyncio.sleep(START_S)
+            monkeypatch.setattr(ingress, 'is_connected', lambda _: False)
+            await filling
+            await system.settle(1)
+            assert len(system.history()) == 1
+            job.cancel()
+
+
 class TestSameFront:
     """Guards against starts before the runs of a submission have ended."""
 
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -174,7 +174,12 @@
             await asyncio.sleep(max(elapsed_s, MIN_PASS_PAUSE_S))
 
     async def submit(
-        self, job: Job, queue: Queue, wait_s: float, version: int
+        self,
+        job: Job,
+        queue: Queue,
+        wait_s: float,
+        version: int,
+        is_connected: Callable[[], bool],
     ) -> JobState:
         """Run a job and return its final state.
 
@@ -188,6 +193,10 @@
             How long the client waits, in seconds.
         version : int
             Version of the configuration under which the job was accepted.
+        is_connected : callable
+            Returns whether the client still holds its connection. Asked before
+            each order, since a client that does not may send the job again at
+            another front at once.
 
         Raises
         ------
@@ -208,7 +217,7 @@
             if self._has_deadly_task(job.job_id):
                 return JobState.FAILED
             active = self._add_job(job, queue, wait_s, version, submitted_at)
-        active.waiting_clients += 1
+        active.clients.append(is_connected)
         answer = 'client gone'
         try:
             async with asyncio.timeout(submitted_at + wait_s - self.now()):
@@ -222,8 +231,8 @@
             answer = _unfinished_answer(active)
             raise
         finally:
-            active.waiting_clients -= 1
-            if not active.waiting_clients:
+            active.clients.remove(is_connected)
+            if not active.clients:
                 self._end_job(active, answer)
 
     def cancel(self, job_id: str) -> bool:
@@ -583,11 +592,11 @@
             [_run_order(task) for task in tasks],
             is_trial,
         )
-        if not active.ended:
+        if active.is_wanted:
             self._record_order(active, view, tasks, is_trial)
         try:
             reply = await view.channel.request(
-                message, ORDER_TIMEOUT_S, lambda: not active.ended
+                message, ORDER_TIMEOUT_S, lambda: active.is_wanted
             )
         except RequestWithdrawn as error:
             self._handle_withdrawn_order(active, view, keys, error)
@@ -629,12 +638,14 @@
         keys: dict[str, str],
         error: RequestWithdrawn,
     ) -> None:
-        """Process an order whose job ended before it could be sent."""
+        """End the job of an order that was not wanted when it was sent."""
         active.may_have_run |= error.sent
         # If it was sent before, the end of the job stops what it started.
         if not error.sent:
             for key in keys.values():
                 self._return_to_waiting(view, key)
+        if not active.outcome.done():
+            active.outcome.cancel()
 
     def _handle_lost_order(
         self,
--- a/src/limpetlanding/runs/jobs.py
+++ b/src/limpetlanding/runs/jobs.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from math import inf
 
@@ -90,7 +90,8 @@
     # Orders without an answer so far, and whether a task may have been started.
     unanswered_orders: int = 0
     may_have_run: bool = False
-    waiting_clients: int = 0
+    # Of each waiting client, whether it still holds its connection.
+    clients: list[Callable[[], bool]] = field(default_factory=list)
     ended: bool = False
     no_runs_left: asyncio.Event = field(default_factory=asyncio.Event)
     workers: set[str] = field(default_factory=set)
@@ -138,6 +139,13 @@
         """Whether a task may have been started or may yet be."""
         return self.may_have_run or self.unanswered_orders > 0
 
+    @property
+    def is_wanted(self) -> bool:
+        """Whether a client still waits for the answer."""
+        return not self.ended and any(
+            is_connected() for is_connected in self.clients
+        )
+
     def remove_run(self, task: ActiveTask) -> None:
         """Record that a task has no run at any worker."""
         if self.placed.get(task.name) is task:
