Write no frames to a transport that is closing

uvloop raises RuntimeError if a transport is used after its connection was reset. Link._flush and Link._tick wrote before the reader had noticed the reset, and the exception appeared as "Exception in callback"; Link.close had the same fault, because it suppressed only OSError.

A link whose transport is closing now refuses frames like a lost link, so that requests and replies use another link, and drops a batch that is queued. The requests of that batch are sent again on the next link when the reader ends this one.

The tests of TestClosedTransport fail without the change: three with a writer that raises as uvloop does, one with real sockets on uvloop. A request queued before the reset is repeated once; one made after it is sent once, on the next link.

Other writers were read: aiohttp tests is_closing before each write and turns other exceptions of a request into ClientConnectionError, which the clients of executor, store and log handle; telemetry/output writes to a descriptor; the proxy of the soak runs on the loop of asyncio, which does not raise.

--- a/src/limpetlanding/wire/link.py
+++ b/src/limpetlanding/wire/link.py
@@ -179,7 +179,7 @@
             If the message cannot be encoded.
         """
         frame = encode_frame(kind, number, message)
-        if self.lost or self.closing:
+        if not self._is_open():
             return False
         if kind != FrameKind.REPLY and self.is_congested():
             return False
@@ -238,11 +238,12 @@
         """
         self._flush()
         self.closing = True
-        with suppress(OSError):
-            if self.writer.can_write_eof():
-                self.writer.write_eof()
-            else:
-                self.writer.close()
+        if not self.writer.is_closing():
+            with suppress(OSError):
+                if self.writer.can_write_eof():
+                    self.writer.write_eof()
+                else:
+                    self.writer.close()
         await self.ended.wait()
 
     async def _read_frames(
@@ -312,12 +313,17 @@
                 return frame
         raise ProtocolError('connection closed before hello', step='hello')
 
+    def _is_open(self) -> bool:
+        # uvloop raises RuntimeError if a transport is used after a reset. The
+        # link is lost as soon as its reader notices the reset.
+        return not (self.lost or self.closing or self.writer.is_closing())
+
     def _flush(self) -> None:
-        if self.lost or self.closing or not self.unsent:
-            return
         batch = b''.join(self.unsent)
         self.unsent.clear()
         self.unsent_bytes = 0
+        if not batch or not self._is_open():
+            return
         self.last_sent = self.loop.time()
         self.writer.write(batch)
 
--- a/src/limpetlanding/wire/tests/test_link.py
+++ b/src/limpetlanding/wire/tests/test_link.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trustme
+import uvloop
 
 from limpetlanding.errors import PeerLost
 from limpetlanding.wire import (
@@ -198,6 +199,115 @@
         self.inner.write(chunk)
 
 
+class ClosedWriter:
+    """Writer whose connection was reset, with the exceptions of uvloop."""
+
+    def __init__(self, writer):
+        self.inner = writer
+
+    def __getattr__(self, name):
+        return getattr(self.inner, name)
+
+    def is_closing(self):
+        return True
+
+    def write(self, _chunk):
+        raise RuntimeError('unable to perform operation on a closed handle')
+
+
+@pytest.fixture
+async def callback_errors():
+    """Exceptions that callbacks of the event loop have raised."""
+    return record_callback_errors()
+
+
+def record_callback_errors():
+    errors = []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda _loop, context: errors.append(context)
+    )
+    return errors
+
+
+class TestClosedTransport:
+    """Guards against writes that raise because the connection was reset.
+
+    The reset may be noticed between the first frame of a batch and its write,
+    and between two heartbeats; the link ends when its reader notices it.
+    """
+
+    async def test_request_of_the_batch_is_sent_again_on_the_next_link(
+        self, node, network, callback_errors
+    ):
+        other = Node(hello('other'), accept_all, connect=network.connect)
+        channel = await other.dial(ADDRESS)
+        await asyncio.sleep(0.1)
+        link = channel.links[0]
+
+        def reset():
+            link.writer = ClosedWriter(link.writer)
+            network.connections[0].reset()
+
+        asked = asyncio.create_task(channel.request(Ack(), 5))
+        # The request is queued before the reset and written after it.
+        asyncio.get_running_loop().call_soon(reset)
+        assert await asked == Ack()
+        assert other.counters.events['requests_repeated'] == 1
+        assert not callback_errors
+        await other.stop(drain=False)
+
+    async def test_request_after_the_reset_waits_for_the_next_link(
+        self, node, network, callback_errors
+    ):
+        other = Node(hello('other'), accept_all, connect=network.connect)
+        channel = await other.dial(ADDRESS)
+        await asyncio.sleep(0.1)
+        link = channel.links[0]
+        link.writer = ClosedWriter(link.writer)
+        network.connections[0].reset()
+        assert await channel.request(Ack(), 5) == Ack()
+        assert not other.counters.events['requests_repeated']
+        assert not callback_errors
+        await other.stop(drain=False)
+
+    async def test_heartbeats_raise_nothing(
+        self, node, network, callback_errors
+    ):
+        other = Node(hello('other'), accept_all, connect=network.connect)
+        channel = await other.dial(ADDRESS)
+        await asyncio.sleep(0.1)
+        link = channel.links[0]
+        link.writer = ClosedWriter(link.writer)
+        await asyncio.sleep(2 * link.timing.heartbeat_s)
+        assert not callback_errors
+        await other.stop(drain=False)
+
+    def test_uvloop_raises_nothing_after_a_reset(self):
+        # Uses real sockets on loopback, because the virtual event loop has
+        # other transports.
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(self.exchange_after_resets())
+
+    async def exchange_after_resets(self):
+        errors = record_callback_errors()
+        node = Node(hello('node', '127.0.0.1:0'), accept_all)
+        await node.start()
+        other = Node(hello('other'), accept_all)
+        channel = await other.dial(node.hello.address)
+        # The first heartbeat is sent before the reset.
+        await asyncio.sleep(0.05)
+        channel.links[0].writer.transport.abort()
+        assert await channel.request(Ack(), 5) == Ack()
+        await asyncio.sleep(0.05)
+        link = channel.links[0]
+        link.writer.transport.abort()
+        await asyncio.sleep(0)
+        await link.close()
+        assert not errors
+        await other.stop(drain=False)
+        await node.stop(drain=False)
+
+
 class TestTls:
     """Uses real sockets on loopback; the virtual event loop has no TLS."""
 
