Reject an order chosen by labels or a pool announced before

The same executor may announce other labels or another pool while an order is on its way, or between the acceptance of a run and the sending of its start. The incarnation stays the same, so that a task was started without the label that it requires, and a start that had been accepted, or was attempted again, went out after a change of the pool. Capacity was already compared at both points.

The supervisor counts revisions of pool and labels; reports carry the number and orders repeat it. The worker rejects an order with an outdated revision, and the supervisor drops an accepted start that has not been sent. An order of an earlier build has revision 0 and is accepted as before. The front takes executor and revision from the report at the time of the choice, because another report may arrive before the order is sent.

--- a/src/limpetlanding/platform/tests/test_restarts.py
+++ b/src/limpetlanding/platform/tests/test_restarts.py
@@ -13,6 +13,7 @@
 from limpetlanding.wire.run_messages import WorkerReport
 
 JOB = '5c0e7a21d94b36f8'
+NEXT_JOB = '5c0e7a21d94b36f9'
 WORKERS_TOPIC = 'keyed.workers'
 
 
@@ -84,6 +85,22 @@
             await system.submit(JOB, body(requirements='special'), 1000)
             assert not system.history()
 
+    async def test_task_is_not_started_at_its_executor_without_it(self):
+        # The front has not received the report on the other labels.
+        async with System(worker_count=1).run() as system:
+            executor = system.executors[0]
+            executor.labels = ('special', 'r1')
+            await system.announce(0, executor.announcement())
+            await system.settle(0.5)
+            system.fronts[0].handlers.pop(WorkerReport)
+            executor.labels = ('r1',)
+            await system.announce(0, executor.announcement())
+            await system.settle(0.5)
+            await system.submit(JOB, body(requirements='special'), 1000)
+            assert not system.history()
+            # Guards against a front that chooses by the old report for ever.
+            assert (await system.submit(NEXT_JOB))[0] == 200
+
     async def test_label_that_is_announced_no_more_is_not_used(self):
         async with System(worker_count=1).run() as system:
             executor = system.executors[0]
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -528,16 +528,14 @@
         active.unanswered_orders += len(chosen)
         for view, tasks in chosen.items():
             self.background.spawn(
-                self._send_order(
-                    active, view, view.report.executor, tasks, is_trial
-                )
+                self._send_order(active, view, view.report, tasks, is_trial)
             )
 
     async def _send_order(
         self,
         active: ActiveJob,
         view: WorkerView,
-        executor: str,
+        report: WorkerReport,
         tasks: list[ActiveTask],
         is_trial: bool,
     ) -> None:
@@ -555,7 +553,8 @@
             active.job.spec,
             [_run_order(task) for task in tasks],
             is_trial,
-            executor,
+            report.executor,
+            report.revision,
         )
         self.counts['orders'] += 1
         logger.bind(
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -140,6 +140,10 @@
         self.departing = False
         # Counts the incarnations of the executor that this process has seen.
         self.generation = 0
+        # Rises with the generation, and when the executor announces another
+        # pool or other labels; a run is started only under the revision under
+        # which it was ordered.
+        self.revision = 0
         # Orders of an earlier incarnation of this process may still arrive at
         # the executor, which rejects them because of this higher token. The
         # wall clock rises from one incarnation to the next.
@@ -239,6 +243,7 @@
 
         The caller checks `refusal_reason` first.
         """
+        held.revision = self.revision
         self.room.reserve(held)
         self.no_runs_left.clear()
         self.on_change()
@@ -277,6 +282,7 @@
         self.announced = None
         self.departing = False
         self.generation += 1
+        self.revision += 1
         self.room.begin_incarnation(executor.capacity)
         self.capacity_announced_at = self.now()
         self.health = ExecutorHealth()
@@ -368,6 +374,8 @@
         self.refused_connections = 0
 
     def _update(self, known: Executor, announced: Executor) -> None:
+        if _placement(announced) != _placement(known):
+            self.revision += 1
         self.executor = announced
         self.room.capacity = announced.capacity
         self.capacity_announced_at = self.now()
@@ -610,6 +618,8 @@
             return 'the run has been stopped'
         if not self._is_current(generation):
             return 'the executor was replaced'
+        if held.revision != self.revision:
+            return 'other labels or another pool were announced'
         if self.now() - held.ordered_at > MAX_ORDER_AGE_S:
             return 'this process was suspended'
         if self._is_capacity_outdated():
@@ -759,6 +769,11 @@
             self.run_ratio += RATIO_WEIGHT * (ratio - self.run_ratio)
 
 
+def _placement(executor: Executor) -> tuple[str, set[str]]:
+    """Return by what fronts choose an executor, besides its resources."""
+    return executor.pool, set(executor.labels)
+
+
 def _later(known: Executor | None, announced: Executor) -> Executor:
     """Return the later one of two announcements, if one executor sent both."""
     if (
--- a/src/limpetlanding/runs/tests/test_worker.py
+++ b/src/limpetlanding/runs/tests/test_worker.py
@@ -5,8 +5,12 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
-from limpetlanding.runs.ports import ExecutorReplaced
+import pytest
+
+from limpetlanding.runs.model import Resources
+from limpetlanding.runs.ports import ExecutorReplaced, StartReply
 from limpetlanding.runs.tests.test_supervisor import (
+    CLOCK_MS,
     CPU,
     ControlledPort,
     executor,
@@ -17,14 +21,15 @@
 from limpetlanding.wire.run_messages import RunOrder, StartRuns
 
 LABELLED = replace(executor(), labels=('special',))
+CHANGES = [{'labels': ()}, {'pool': 'other'}]
 
 
 def order(report, **changes):
     """Return the order of a front that has received a report."""
     runs = [RunOrder('a.0.0.0', 1, CPU, 0, 0, 0)]
-    return StartRuns(
-        'a', 'desk', '', runs, **{'executor': report.executor} | changes
-    )
+    pool = changes.pop('pool', 'desk')
+    chosen = {'executor': report.executor, 'revision': report.revision}
+    return StartRuns('a', pool, '', runs, **chosen | changes)
 
 
 class OrderedWorker:
@@ -38,6 +43,13 @@
         )
         self.channel = SimpleNamespace(peer=peer)
 
+    def announce(self, change):
+        """Let the executor announce itself with other attributes."""
+        known = self.worker.supervisor.executor
+        self.worker.handle_announcement(
+            replace(known, sequence=known.sequence + 1, **change)
+        )
+
     def start(self, message):
         """Deliver an order; return the reply."""
         return self.worker.handle(self.channel, message)
@@ -103,7 +115,7 @@
     async def test_order_of_an_earlier_build_is_accepted(self):
         # Guards against a rolling upgrade that stops all starts.
         async with ordered_worker() as ordered:
-            message = order(ordered.worker.report(), executor='')
+            message = order(ordered.worker.report(), executor='', revision=0)
             await ordered.replace_executor(executor(2))
             assert ordered.start(message).taken
 
@@ -128,3 +140,69 @@
             await asyncio.sleep(0.1)
             assert not ordered.port.starts
             assert ordered.worker.counts['crashed'] == 1
+
+
+class TestChangedExecutor:
+    """Guards against starts by what an executor has announced before."""
+
+    @pytest.mark.parametrize('change', CHANGES)
+    async def test_order_chosen_by_an_earlier_report_is_rejected(self, change):
+        async with ordered_worker() as ordered:
+            message = order(ordered.worker.report())
+            ordered.announce(change)
+            reply = ordered.start(message)
+            assert (reply.taken, reply.reason) == (
+                [],
+                'other labels or another pool',
+            )
+            await asyncio.sleep(0.1)
+            assert not ordered.port.starts
+            # The front chooses anew by the report in the reply.
+            next_order = order(reply.report, pool=reply.report.pool)
+            assert ordered.start(next_order).taken
+
+    @pytest.mark.parametrize('change', CHANGES)
+    async def test_start_is_dropped_if_it_has_not_been_sent(self, change):
+        async with ordered_worker() as ordered:
+            assert ordered.start(order(ordered.worker.report())).taken
+            ordered.announce(change)
+            await asyncio.sleep(0.1)
+            assert not ordered.port.starts
+            assert ordered.worker.counts['refused'] == 1
+
+    @pytest.mark.parametrize('change', CHANGES)
+    async def test_start_is_not_attempted_again(self, change):
+        async with ordered_worker() as ordered:
+
+            async def refuse(_number):
+                ordered.announce(change)
+                return StartReply(CLOCK_MS, 'expired')
+
+            ordered.port.answer_start = refuse
+            assert ordered.start(order(ordered.worker.report())).taken
+            await asyncio.sleep(0.1)
+            assert len(ordered.port.starts) == 1
+            assert ordered.worker.counts['refused'] == 1
+
+    async def test_order_for_a_capacity_that_has_shrunk_is_rejected(self):
+        async with ordered_worker() as ordered:
+            message = order(ordered.worker.report())
+            ordered.announce({'capacity': Resources(CPU // 2)})
+            assert ordered.start(message).reason == 'no room'
+
+    async def test_repeated_or_reordered_labels_reject_nothing(self):
+        # Guards against rejections after each announcement.
+        labels = ('r1', 'special')
+        async with ordered_worker(replace(LABELLED, labels=labels)) as ordered:
+            message = order(ordered.worker.report())
+            ordered.announce({'labels': labels[::-1]})
+            assert ordered.start(message).taken
+
+    async def test_order_of_an_earlier_build_is_accepted(self):
+        # Guards against a rolling upgrade that stops all starts.
+        async with ordered_worker() as ordered:
+            message = order(ordered.worker.report(), executor='', revision=0)
+            ordered.announce({'labels': ()})
+            assert ordered.start(message).taken
+            await asyncio.sleep(0.01)
+            assert len(ordered.port.starts) == 1
--- a/src/limpetlanding/runs/tracked_run.py
+++ b/src/limpetlanding/runs/tracked_run.py
@@ -62,6 +62,8 @@
     checkpoint: str = ''
     estimate_ms: float = 0
     ordered_at: float = inf
+    # Revision of the executor under which the run was ordered.
+    revision: int = 0
     # The start may still be carried out: it is on its way or was not answered.
     start_pending: bool = False
     # Fencing token of the last attempt to start the run.
--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -183,6 +183,7 @@
             accepting=is_accepting,
             health=supervisor.health_state(),
             run_ratio=supervisor.run_ratio,
+            revision=supervisor.revision,
         )
 
     def handle(self, channel: Channel, message: Any) -> Any:
@@ -243,8 +244,9 @@
         executor = self.supervisor.executor
         if executor is not None:
             if message.executor not in {'', executor.incarnation}:
-                # Its labels and its rack may be others.
                 return 'another executor'
+            if message.revision not in {0, self.supervisor.revision}:
+                return 'other labels or another pool'
             if executor.pool != message.pool:
                 return 'another pool'
         if any(
--- a/src/limpetlanding/wire/run_messages.py
+++ b/src/limpetlanding/wire/run_messages.py
@@ -39,7 +39,8 @@
 
     ``executor`` names an incarnation of the executor and is empty while none
     is known. ``run_ratio`` is the run time of recent tasks as a multiple of
-    their estimates.
+    their estimates. ``revision`` rises when the executor is replaced, or
+    announces another pool or other labels; an earlier build leaves it 0.
     """
 
     executor: str
@@ -55,6 +56,7 @@
     accepting: bool
     health: str
     run_ratio: float = 1
+    revision: int = 0
 
 
 @message('start')
@@ -64,8 +66,9 @@
 
     If ``is_trial``, they may crash the executor: no run of another job is
     started shortly before or after them, so that a crash shows its cause.
-    ``executor`` names the incarnation that the front chose the worker for; an
-    order for another one is rejected. An earlier build leaves it empty.
+    ``executor`` and ``revision`` are those of the report by which the front
+    chose the worker; the order is rejected if they have changed. An earlier
+    build leaves them empty.
     """
 
     job_id: str
@@ -74,6 +77,7 @@
     orders: list[RunOrder]
     is_trial: bool = False
     executor: str = ''
+    revision: int = 0
 
 
 @message('taken')
