Stop runs that a restarted executor was not chosen for

An executor that has restarted under the same id carries out a start that was meant for its earlier life, because calls name only its id. The supervisor kept such a run when an inventory showed the restart, although the executor may have another pool or other labels than the front chose it for.

The supervisor now stops all runs when a restarted executor has announced another pool or other labels, or announces them after the inventory; their front starts them elsewhere. If pool and labels are the same, the runs go on. Runs of an executor that announces others without a restart go on as before, since they were started while the former ones were in force.

The four cases of TestRestartedExecutor that expect a stop fail without the change.

--- a/src/limpetlanding/runs/ports.py
+++ b/src/limpetlanding/runs/ports.py
@@ -11,6 +11,10 @@
 from limpetlanding.errors import LimpetlandingError
 from limpetlanding.runs.model import Catalog, Resources, RunEnd
 
+NOT_ANNOUNCED = -1
+"""Sequence of an executor of which this process has no announcement. Its pool
+and labels are assumed, and its capacity counts as zero."""
+
 
 class ExecutorUnavailable(LimpetlandingError):
     """No usable answer; the call may have been or may yet be executed."""
@@ -51,7 +55,8 @@
     draining : bool
         Whether the executor is about to shut down.
     sequence : int
-        Number of the announcement; it rises within one incarnation.
+        Number of the announcement, which rises within one incarnation, or
+        `NOT_ANNOUNCED`.
     """
 
     executor_id: str
--- a/src/limpetlanding/runs/registration.py
+++ b/src/limpetlanding/runs/registration.py
@@ -16,6 +16,7 @@
 from limpetlanding.runs.backoff import FIRST_PAUSE_S, MAX_PAUSE_S
 from limpetlanding.runs.model import Resources
 from limpetlanding.runs.ports import (
+    NOT_ANNOUNCED,
     CallTarget,
     Executor,
     ExecutorPort,
@@ -132,7 +133,7 @@
                 capacity=Resources(),
                 labels=(),
                 draining=record.draining,
-                sequence=-1,
+                sequence=NOT_ANNOUNCED,
             )
             is_recorded = executor.incarnation == record.executor
             if (
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -20,6 +20,7 @@
 from limpetlanding.runs.losses import LossKind
 from limpetlanding.runs.model import Resources, RunEnd
 from limpetlanding.runs.ports import (
+    NOT_ANNOUNCED,
     CallTarget,
     Executor,
     ExecutorDown,
@@ -325,7 +326,8 @@
         """Follow an executor that has restarted under the same id.
 
         Runs that it lists were started after the restart. A start without an
-        answer may have reached it, and is stopped.
+        answer may have reached it, and is stopped. All runs are stopped if it
+        has another pool or other labels, perhaps only once it announces them.
         """
         known = self.executor
         listed = {(run.task, run.run) for run in inventory.active}
@@ -347,10 +349,15 @@
         else:
             # The announcement will state its capacity, which may be another.
             successor = replace(
-                successor, capacity=Resources(), draining=False, sequence=-1
+                successor,
+                capacity=Resources(),
+                draining=False,
+                sequence=NOT_ANNOUNCED,
             )
         self._begin_incarnation(successor)
         self.room.assume_longest_lease(inventory.clock_ms, self.loop.time())
+        if _placement(successor) != _placement(known):
+            self._stop_misplaced()
 
     def _end_lost_runs(
         self, kind: LossKind, evidence: Evidence, ended: list[TrackedRun]
@@ -376,6 +383,8 @@
     def _update(self, known: Executor, announced: Executor) -> None:
         if _placement(announced) != _placement(known):
             self.revision += 1
+            if known.sequence == NOT_ANNOUNCED:
+                self._stop_misplaced()
         self.executor = announced
         self.room.capacity = announced.capacity
         self.capacity_announced_at = self.now()
@@ -388,6 +397,11 @@
             )
         self.on_change()
 
+    def _stop_misplaced(self) -> None:
+        """Stop the runs that were meant for an earlier life of the executor."""
+        for held in list(self.runs.values()):
+            self.stop(held, RunEnd.REFUSED)
+
     def _raise_fence(self, error: FenceRejected) -> None:
         self.room.raise_fence(FENCING_TOKEN_INCREMENT)
         logger.bind(step='look', fence=self.fence).info(
--- a/src/limpetlanding/runs/tests/test_supervisor.py
+++ b/src/limpetlanding/runs/tests/test_supervisor.py
@@ -2,9 +2,13 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import pytest
 
 from limpetlanding.runs.model import Resources
 from limpetlanding.runs.ports import (
+    ActiveRun,
     Executor,
     ExecutorReplaced,
     ExecutorUnavailable,
@@ -73,6 +77,11 @@
     )
 
 
+def restarted(change):
+    """Return the announcement of a later life under the same id."""
+    return replace(executor(), start_time_ms=START_TIME_MS + 1, **change)
+
+
 def inventory(active=(), ended=()):
     """Return an answer of the executor."""
     return Inventory(CLOCK_MS, START_TIME_MS, list(active), list(ended))
@@ -196,3 +205,62 @@
         async with supervised() as (supervisor, _, _):
             supervisor.handle_departure('i-1')
             assert supervisor.free == supervisor.capacity == Resources()
+
+
+class TestRestartedExecutor:
+    """Guards against runs without a label that their tasks require.
+
+    An executor that has restarted under the same id carries out the start that
+    was meant for its earlier life.
+    """
+
+    OTHERS = (
+        {'labels': ('other',)},
+        {'pool': 'other'},
+    )
+
+    async def restart(self, supervisor, port):
+        """Let a run start, and an inventory show that its start was late."""
+        answer = await next_inventory(supervisor, port)
+        held = tracked_run()
+        supervisor.start(held)
+        await asyncio.sleep(0.01)
+        active = [ActiveRun(*held.key, 1)]
+        answer.set_result(Inventory(CLOCK_MS, START_TIME_MS + 1, active))
+        await asyncio.sleep(0.01)
+
+    @pytest.mark.parametrize('change', OTHERS)
+    async def test_run_is_stopped_if_others_are_announced_later(self, change):
+        async with supervised() as (supervisor, port, _):
+            await self.restart(supervisor, port)
+            assert not port.stops
+            supervisor.handle_announcement(restarted(change))
+            await asyncio.sleep(0.01)
+            assert port.stops == [('a.0.0.0', 1)]
+
+    @pytest.mark.parametrize('change', OTHERS)
+    async def test_run_is_stopped_if_others_were_announced(self, change):
+        async with supervised() as (supervisor, port, _):
+            supervisor.announced = restarted(change)
+            await self.restart(supervisor, port)
+            assert port.stops == [('a.0.0.0', 1)]
+
+    async def test_run_goes_on_if_the_same_are_announced(self):
+        async with supervised() as (supervisor, port, ends):
+            await self.restart(supervisor, port)
+            supervisor.handle_announcement(restarted({}))
+            await asyncio.sleep(0.01)
+            assert not port.stops
+            assert not ends
+
+    async def test_run_goes_on_if_its_executor_announces_others(self):
+        # The run has been started while they were announced.
+        async with supervised() as (supervisor, port, ends):
+            supervisor.start(tracked_run())
+            await asyncio.sleep(0.01)
+            supervisor.handle_announcement(
+                replace(executor(sequence=2), labels=('other',))
+            )
+            await asyncio.sleep(0.01)
+            assert not port.stops
+            assert not ends
