--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -574,13 +574,14 @@
         active.unanswered_orders += len(chosen)
         for view, tasks in chosen.items():
             self.background.spawn(
-                self._send_order(active, view, tasks, is_trial)
+                self._send_order(active, view, view.report, tasks, is_trial)
             )
 
     async def _send_order(
         self,
         active: ActiveJob,
         view: WorkerView,
+        report: WorkerReport,
         tasks: list[ActiveTask],
         is_trial: bool,
     ) -> None:
@@ -591,6 +592,8 @@
             active.job.spec,
             [_run_order(task) for task in tasks],
             is_trial,
+            report.executor,
+            report.revision,
         )
         if active.is_wanted:
             self._record_order(active, view, tasks, is_trial)
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -20,6 +20,7 @@
 from limpetlanding.runs.losses import LossKind
 from limpetlanding.runs.model import Resources, RunEnd
 from limpetlanding.runs.ports import (
+    NOT_ANNOUNCED,
     CallTarget,
     Executor,
     ExecutorDown,
@@ -140,6 +141,10 @@
         self.departing = False
         # Counts the incarnations of the executor that this process has seen.
         self.generation = 0
+        # Rises with the generation, and when the executor announces another
+        # pool or other labels; a run is started only under the revision under
+        # which it was ordered.
+        self.revision = 0
         # Orders of an earlier incarnation of this process may still arrive at
         # the executor, which rejects them because of this higher token. The
         # wall clock rises from one incarnation to the next.
@@ -239,6 +244,7 @@
 
         The caller checks `refusal_reason` first.
         """
+        held.revision = self.revision
         self.room.reserve(held)
         self.no_runs_left.clear()
         self.on_change()
@@ -291,6 +297,7 @@
         self.announced = None
         self.departing = False
         self.generation += 1
+        self.revision += 1
         self.room.begin_incarnation(executor.capacity)
         self.capacity_announced_at = self.now()
         self.health = ExecutorHealth()
@@ -333,7 +340,8 @@
         """Follow an executor that has restarted under the same id.
 
         Runs that it lists were started after the restart. A start without an
-        answer may have reached it, and is stopped.
+        answer may have reached it, and is stopped. All runs are stopped if it
+        has another pool or other labels, perhaps only once it announces them.
         """
         known = self.executor
         listed = {(run.task, run.run) for run in inventory.active}
@@ -355,10 +363,15 @@
         else:
             # The announcement will state its capacity, which may be another.
             successor = replace(
-                successor, capacity=Resources(), draining=False, sequence=-1
+                successor,
+                capacity=Resources(),
+                draining=False,
+                sequence=NOT_ANNOUNCED,
             )
         self._begin_incarnation(successor)
         self.room.assume_longest_lease(inventory.clock_ms, self.loop.time())
+        if _placement(successor) != _placement(known):
+            self._stop_misplaced()
 
     def _end_lost_runs(
         self, kind: LossKind, evidence: Evidence, ended: list[TrackedRun]
@@ -382,6 +395,10 @@
         self.refused_connections = 0
 
     def _update(self, known: Executor, announced: Executor) -> None:
+        if _placement(announced) != _placement(known):
+            self.revision += 1
+            if known.sequence == NOT_ANNOUNCED:
+                self._stop_misplaced()
         self.executor = announced
         self.room.capacity = announced.capacity
         self.capacity_announced_at = self.now()
@@ -394,6 +411,11 @@
             )
         self.on_change()
 
+    def _stop_misplaced(self) -> None:
+        """Stop the runs that were meant for an earlier life of the executor."""
+        for held in list(self.runs.values()):
+            self.stop(held, RunEnd.REFUSED)
+
     def _raise_fence(self, error: FenceRejected) -> None:
         self.room.raise_fence(FENCING_TOKEN_INCREMENT)
         logger.bind(step='look', fence=self.fence).info(
@@ -624,6 +646,8 @@
             return 'the run has been stopped'
         if not self._is_current(generation):
             return 'the executor was replaced'
+        if held.revision != self.revision:
+            return 'other labels or another pool were announced'
         if self.now() - held.ordered_at > MAX_ORDER_AGE_S:
             return 'this process was suspended'
         if self._is_capacity_outdated():
@@ -773,6 +797,11 @@
             self.run_ratio += RATIO_WEIGHT * (ratio - self.run_ratio)
 
 
+def _placement(executor: Executor) -> tuple[str, set[str]]:
+    """Return by what fronts choose an executor, besides its resources."""
+    return executor.pool, set(executor.labels)
+
+
 def _later(known: Executor | None, announced: Executor) -> Executor:
     """Return the later one of two announcements, if one executor sent both."""
     if (
--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -183,6 +183,7 @@
             accepting=is_accepting,
             health=supervisor.health_state(),
             run_ratio=supervisor.run_ratio,
+            revision=supervisor.revision,
         )
 
     def handle(self, channel: Channel, message: Any) -> Any:
@@ -241,8 +242,13 @@
 
     def _refusal(self, message: StartRuns, order: RunOrder) -> str:
         executor = self.supervisor.executor
-        if executor is not None and executor.pool != message.pool:
-            return 'another pool'
+        if executor is not None:
+            if message.executor not in {'', executor.incarnation}:
+                return 'another executor'
+            if message.revision not in {0, self.supervisor.revision}:
+                return 'other labels or another pool'
+            if executor.pool != message.pool:
+                return 'another pool'
         if any(
             held.task == order.task for held in self.supervisor.runs.values()
         ):
