Load only the messages of a link in front and worker processes

wire/messages.py defined the 31 message classes of entries and agents beside the five that every link needs, and wire/__init__.py imported them all, so each front and worker compiled 31 dataclasses that it never uses (16 ms of 300 ms in -X importtime).

They are now in wire/job_messages.py, which entries and agents import. Tags, fields and their order are unchanged.

--- a/src/limpetlanding/agent/calls.py
+++ b/src/limpetlanding/agent/calls.py
@@ -14,7 +14,7 @@
 from limpetlanding.agent.options import EndpointOptions
 from limpetlanding.jobs import Reason, TaskState
 from limpetlanding.telemetry.traces import span
-from limpetlanding.wire import TaskReport, TaskResult, TaskSpec
+from limpetlanding.wire.job_messages import TaskReport, TaskResult, TaskSpec
 
 INCARNATION_HEADER = 'X-Endpoint-Incarnation'
 """Header with the incarnation that a call is meant for. An endpoint that
--- a/src/limpetlanding/agent/coordinator.py
+++ b/src/limpetlanding/agent/coordinator.py
@@ -20,7 +20,7 @@
 )
 from limpetlanding.telemetry import job_logger
 from limpetlanding.telemetry.traces import span
-from limpetlanding.wire import (
+from limpetlanding.wire.job_messages import (
     AllocateIds,
     CancelJob,
     IdBlock,
--- a/src/limpetlanding/agent/core.py
+++ b/src/limpetlanding/agent/core.py
@@ -17,11 +17,11 @@
 )
 from limpetlanding.agent.records import Ledger
 from limpetlanding.policy import FifoQueue, SpeedTracker
-from limpetlanding.wire import (
+from limpetlanding.wire import Hello
+from limpetlanding.wire.job_messages import (
     AllocateIds,
     CancelJob,
     Handover,
-    Hello,
     LoadReport,
     LocateCoordinator,
     MoveTasks,
--- a/src/limpetlanding/agent/endpoints.py
+++ b/src/limpetlanding/agent/endpoints.py
@@ -8,7 +8,7 @@
 
 from limpetlanding.agent.connections import Connections
 from limpetlanding.agent.options import EndpointOptions
-from limpetlanding.wire import EndpointLoad
+from limpetlanding.wire.job_messages import EndpointLoad
 
 
 class Speed(Protocol):
--- a/src/limpetlanding/agent/executor.py
+++ b/src/limpetlanding/agent/executor.py
@@ -16,7 +16,7 @@
 from limpetlanding.policy.queueing import QueuedTask
 from limpetlanding.telemetry import job_logger
 from limpetlanding.telemetry.traces import record_span, span
-from limpetlanding.wire import (
+from limpetlanding.wire.job_messages import (
     LoadReport,
     Revoked,
     RevokeTasks,
--- a/src/limpetlanding/agent/handover.py
+++ b/src/limpetlanding/agent/handover.py
@@ -23,7 +23,8 @@
     unpack_into,
 )
 from limpetlanding.errors import LimpetlandingError
-from limpetlanding.wire import Ack, Handover
+from limpetlanding.wire import Ack
+from limpetlanding.wire.job_messages import Handover
 
 _CHUNK_BYTES = 1024 * 1024
 _REQUEST_TIMEOUT_S = 5
--- a/src/limpetlanding/agent/load.py
+++ b/src/limpetlanding/agent/load.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from limpetlanding.wire import LoadReport
 from limpetlanding.wire.codec import FrameKind, encode_frame
+from limpetlanding.wire.job_messages import LoadReport
 
 # Part of the 7 KB/s for all control traffic of a node; heartbeats and the
 # exchange of configuration digests use the rest.
--- a/src/limpetlanding/agent/peers.py
+++ b/src/limpetlanding/agent/peers.py
@@ -5,10 +5,9 @@
 from typing import Any
 
 from limpetlanding.errors import LimpetlandingError, PeerLost, ProtocolError
-from limpetlanding.wire import (
-    Channel,
+from limpetlanding.wire import Channel, Node
+from limpetlanding.wire.job_messages import (
     Members,
-    Node,
     PlaceAgain,
     Placement,
     Placements,
--- a/src/limpetlanding/agent/records.py
+++ b/src/limpetlanding/agent/records.py
@@ -14,7 +14,7 @@
 import msgpack
 
 from limpetlanding.agent.intervals import IntervalSet
-from limpetlanding.wire import JobAnswer, TaskResult
+from limpetlanding.wire.job_messages import JobAnswer, TaskResult
 
 _RECORD_OVERHEAD_BYTES = 200
 _RESULT_OVERHEAD_BYTES = 200
--- a/src/limpetlanding/agent/role.py
+++ b/src/limpetlanding/agent/role.py
@@ -38,13 +38,11 @@
     wire_status,
 )
 from limpetlanding.telemetry.service import add_service_routes
-from limpetlanding.wire import (
-    Channel,
+from limpetlanding.wire import Channel, Hello, Node
+from limpetlanding.wire.job_messages import (
     CoordinatorMoved,
-    Hello,
     LoadReport,
     Members,
-    Node,
 )
 
 TICK_INTERVAL_S = 0.25
--- a/src/limpetlanding/agent/seen_tasks.py
+++ b/src/limpetlanding/agent/seen_tasks.py
@@ -5,7 +5,7 @@
 
 from limpetlanding.agent.options import ExecutorOptions
 from limpetlanding.jobs import Reason, TaskState
-from limpetlanding.wire import TaskReport
+from limpetlanding.wire.job_messages import TaskReport
 
 TaskKey = tuple[str, int]
 """Job id and index."""
--- a/src/limpetlanding/agent/tests/fakes.py
+++ b/src/limpetlanding/agent/tests/fakes.py
@@ -12,8 +12,8 @@
 from limpetlanding.agent.endpoints import Announcement
 from limpetlanding.errors import LimpetlandingError, PeerLost, RequestTimeout
 from limpetlanding.jobs import mint_job_id
-from limpetlanding.wire import (
-    Hello,
+from limpetlanding.wire import Hello
+from limpetlanding.wire.job_messages import (
     Placement,
     Placements,
     SubmitJob,
--- a/src/limpetlanding/agent/tests/test_executor.py
+++ b/src/limpetlanding/agent/tests/test_executor.py
@@ -10,7 +10,7 @@
     submission,
 )
 from limpetlanding.errors import PeerLost
-from limpetlanding.wire import (
+from limpetlanding.wire.job_messages import (
     CancelJob,
     MoveTasks,
     QueryJob,
--- a/src/limpetlanding/agent/tests/test_random_faults.py
+++ b/src/limpetlanding/agent/tests/test_random_faults.py
@@ -14,7 +14,12 @@
     submission,
     truncate_answer,
 )
-from limpetlanding.wire import CancelJob, MoveTasks, RevokeTasks, RunTasks
+from limpetlanding.wire.job_messages import (
+    CancelJob,
+    MoveTasks,
+    RevokeTasks,
+    RunTasks,
+)
 
 JOB_COUNT = 40
 
--- a/src/limpetlanding/agent/tests/test_role.py
+++ b/src/limpetlanding/agent/tests/test_role.py
@@ -10,15 +10,14 @@
 from limpetlanding.agent.tests.fakes import CUSTOMER, FakeEndpoint, submission
 from limpetlanding.jobs import mint_job_id
 from limpetlanding.settings import Settings
-from limpetlanding.wire import (
+from limpetlanding.wire import Hello, Node
+from limpetlanding.wire.job_messages import (
     AllocateIds,
     CoordinatorMoved,
     EndpointLoad,
-    Hello,
     LoadReport,
     LocateCoordinator,
     Members,
-    Node,
     PlaceAgain,
     Placement,
     Placements,
@@ -325,7 +324,7 @@
 
 
 def entry_info(node, address, region):
-    from limpetlanding.wire import EntryInfo
+    from limpetlanding.wire.job_messages import EntryInfo
 
     return EntryInfo(node, 'd' * 16, address, 'kasur', region)
 
--- a/src/limpetlanding/agent/tests/test_submit.py
+++ b/src/limpetlanding/agent/tests/test_submit.py
@@ -5,7 +5,12 @@
 from limpetlanding.agent.records import RecordLimits
 from limpetlanding.agent.tests.fakes import CUSTOMER, new_id, submission
 from limpetlanding.jobs import mint_job_id, payloads_digest
-from limpetlanding.wire import CancelJob, QueryJob, RefuseJob, RunTasks
+from limpetlanding.wire.job_messages import (
+    CancelJob,
+    QueryJob,
+    RefuseJob,
+    RunTasks,
+)
 
 
 def refusal(job_id):
--- a/src/limpetlanding/agent/tracked_tasks.py
+++ b/src/limpetlanding/agent/tracked_tasks.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from limpetlanding.jobs import Outcome, Reason, TaskState, payloads_digest
-from limpetlanding.wire import (
+from limpetlanding.wire.job_messages import (
     JobAnswer,
     Placement,
     TaskReport,
--- a/src/limpetlanding/config/reader.py
+++ b/src/limpetlanding/config/reader.py
@@ -22,7 +22,7 @@
 )
 from limpetlanding.errors import LimpetlandingError
 from limpetlanding.logservice import LogClient
-from limpetlanding.wire import EntryInfo
+from limpetlanding.wire.job_messages import EntryInfo
 
 READERS_PER_REGION = 2
 LONG_POLL_MS = 10_000
--- a/src/limpetlanding/config/replica.py
+++ b/src/limpetlanding/config/replica.py
@@ -10,7 +10,8 @@
 from limpetlanding.contracts import Contract
 from limpetlanding.logservice import LogClient
 from limpetlanding.settings import Settings
-from limpetlanding.wire import Channel, ConfigRequest
+from limpetlanding.wire import Channel
+from limpetlanding.wire.job_messages import ConfigRequest
 
 
 class Replica:
--- a/src/limpetlanding/config/replication.py
+++ b/src/limpetlanding/config/replication.py
@@ -10,12 +10,8 @@
 
 from limpetlanding.config.store import ConfigStore, UnacceptableRecord
 from limpetlanding.errors import LimpetlandingError
-from limpetlanding.wire import (
-    Channel,
-    ConfigRecords,
-    ConfigRequest,
-    Node,
-)
+from limpetlanding.wire import Channel, Node
+from limpetlanding.wire.job_messages import ConfigRecords, ConfigRequest
 
 # Largest random delay of a request, so that replicas which learn of a change
 # at the same moment do not all ask at once.
--- a/src/limpetlanding/config/tests/fleet.py
+++ b/src/limpetlanding/config/tests/fleet.py
@@ -11,13 +11,11 @@
     is_reader,
 )
 from limpetlanding.logservice import LogClient
-from limpetlanding.wire import (
+from limpetlanding.wire import Hello, Node, NodeOptions
+from limpetlanding.wire.job_messages import (
     ConfigRecords,
     ConfigRequest,
     EntryInfo,
-    Hello,
-    Node,
-    NodeOptions,
 )
 from limpetlanding.wire.tests.faulty_network import FaultyNetwork
 
--- a/src/limpetlanding/entry/admission.py
+++ b/src/limpetlanding/entry/admission.py
@@ -24,7 +24,7 @@
     no_placement_reason,
     system_load,
 )
-from limpetlanding.wire import JobAnswer, Placement, TaskSpec
+from limpetlanding.wire.job_messages import JobAnswer, Placement, TaskSpec
 
 ENDPOINT_AWAY_RETRY_MS = 1000
 """An endpoint announces itself every second."""
--- a/src/limpetlanding/entry/answers.py
+++ b/src/limpetlanding/entry/answers.py
@@ -3,7 +3,7 @@
 from enum import StrEnum
 
 from limpetlanding.jobs import Outcome, payloads_digest
-from limpetlanding.wire import JobAnswer
+from limpetlanding.wire.job_messages import JobAnswer
 
 _OUTCOMES = frozenset(('', *Outcome))
 
--- a/src/limpetlanding/entry/core.py
+++ b/src/limpetlanding/entry/core.py
@@ -16,9 +16,9 @@
 from limpetlanding.entry.supply import IdSupply
 from limpetlanding.entry.view import LoadView
 from limpetlanding.policy import AgentLoad, ShareLedger
-from limpetlanding.wire import (
+from limpetlanding.wire import Hello
+from limpetlanding.wire.job_messages import (
     CoordinatorMoved,
-    Hello,
     JobAnswer,
     LoadReport,
     PlaceAgain,
--- a/src/limpetlanding/entry/http.py
+++ b/src/limpetlanding/entry/http.py
@@ -28,7 +28,7 @@
 from limpetlanding.entry.auth import Contract, Contracts, authenticate
 from limpetlanding.jobs import InvalidJobId, Outcome, Reason, parse_job_id
 from limpetlanding.telemetry.traces import span
-from limpetlanding.wire import JobAnswer
+from limpetlanding.wire.job_messages import JobAnswer
 
 BODY_TIMEOUT_S = 10
 """A body of 1 MiB arrives in under a second. A stalled sender would keep the
--- a/src/limpetlanding/entry/minting.py
+++ b/src/limpetlanding/entry/minting.py
@@ -6,7 +6,7 @@
 from itertools import repeat
 
 from limpetlanding.jobs import JobId, mint_job_id
-from limpetlanding.wire import IdBlock
+from limpetlanding.wire.job_messages import IdBlock
 
 BLOCK_IDS = 1024
 """Ids per requested block: about one second of ids per agent at the planned
--- a/src/limpetlanding/entry/moves.py
+++ b/src/limpetlanding/entry/moves.py
@@ -9,7 +9,7 @@
 from limpetlanding.jobs import parse_job_id
 from limpetlanding.policy import AgentLoad, Move, PlacedTask
 from limpetlanding.policy.moves import MAX_MOVED_SHARE
-from limpetlanding.wire import MoveTasks, Placement
+from limpetlanding.wire.job_messages import MoveTasks, Placement
 
 MOVE_INTERVAL_S = 0.1
 MAX_BUDGET_TASKS = 100
--- a/src/limpetlanding/entry/quota.py
+++ b/src/limpetlanding/entry/quota.py
@@ -9,7 +9,11 @@
 from limpetlanding.entry.router import Peer, RequestCoalescer
 from limpetlanding.errors import LimpetlandingError
 from limpetlanding.policy import ShareLedger
-from limpetlanding.wire import ShareGrant, ShareRequest, ShareReturn
+from limpetlanding.wire.job_messages import (
+    ShareGrant,
+    ShareRequest,
+    ShareReturn,
+)
 
 REQUEST_TIMEOUT_S = 0.2
 """Far above a round trip between regions, and short enough for the caller
--- a/src/limpetlanding/entry/role.py
+++ b/src/limpetlanding/entry/role.py
@@ -44,12 +44,8 @@
     wire_status,
 )
 from limpetlanding.telemetry.service import add_service_routes
-from limpetlanding.wire import (
-    Channel,
-    Members,
-    Node,
-    TaskSpec,
-)
+from limpetlanding.wire import Channel, Node
+from limpetlanding.wire.job_messages import Members, TaskSpec
 
 NAIVE_DEADLINE_MS = 600_000
 """The naive policy refuses and drops nothing, so its deadline is the longest
--- a/src/limpetlanding/entry/router.py
+++ b/src/limpetlanding/entry/router.py
@@ -12,9 +12,9 @@
 from limpetlanding.errors import LimpetlandingError, PeerLost, RequestTimeout
 from limpetlanding.jobs import Outcome, Reason, parse_job_id
 from limpetlanding.telemetry import job_logger
-from limpetlanding.wire import (
+from limpetlanding.wire import Hello
+from limpetlanding.wire.job_messages import (
     CancelJob,
-    Hello,
     JobAnswer,
     LocateCoordinator,
     Located,
--- a/src/limpetlanding/entry/submissions.py
+++ b/src/limpetlanding/entry/submissions.py
@@ -17,7 +17,7 @@
 from limpetlanding.jobs import Outcome, Reason
 from limpetlanding.telemetry import job_logger
 from limpetlanding.telemetry.traces import span
-from limpetlanding.wire import (
+from limpetlanding.wire.job_messages import (
     CancelJob,
     JobAnswer,
     QueryJob,
--- a/src/limpetlanding/entry/supply.py
+++ b/src/limpetlanding/entry/supply.py
@@ -8,7 +8,7 @@
 from limpetlanding.entry.minting import BLOCK_IDS, IdPool
 from limpetlanding.entry.router import Peer
 from limpetlanding.errors import LimpetlandingError
-from limpetlanding.wire import AllocateIds, IdBlock
+from limpetlanding.wire.job_messages import AllocateIds, IdBlock
 
 REQUEST_TIMEOUT_S = 1
 CHECK_INTERVAL_S = 0.25
--- a/src/limpetlanding/entry/tests/fakes.py
+++ b/src/limpetlanding/entry/tests/fakes.py
@@ -6,11 +6,10 @@
 
 from limpetlanding.errors import PeerLost, RequestTimeout
 from limpetlanding.jobs import payloads_digest
-from limpetlanding.wire import (
-    Ack,
+from limpetlanding.wire import Ack, Hello
+from limpetlanding.wire.job_messages import (
     AllocateIds,
     CancelJob,
-    Hello,
     IdBlock,
     JobAnswer,
     LocateCoordinator,
--- a/src/limpetlanding/entry/tests/fleet.py
+++ b/src/limpetlanding/entry/tests/fleet.py
@@ -8,7 +8,8 @@
 from limpetlanding.entry.tests.fakes import FakeAgent
 from limpetlanding.entry.tests.rig import connect, default_contracts, make_core
 from limpetlanding.errors import PeerLost
-from limpetlanding.wire import Hello, Members
+from limpetlanding.wire import Hello
+from limpetlanding.wire.job_messages import Members
 
 DELAY_S = 0.0015
 DOWN_S = 4
--- a/src/limpetlanding/entry/tests/rig.py
+++ b/src/limpetlanding/entry/tests/rig.py
@@ -19,7 +19,8 @@
     FakeContracts,
 )
 from limpetlanding.policy import Admission, Estimator, OutlierDetector, place
-from limpetlanding.wire import EndpointLoad, Hello, LoadReport
+from limpetlanding.wire import Hello
+from limpetlanding.wire.job_messages import EndpointLoad, LoadReport
 
 
 def key_hash(key):
--- a/src/limpetlanding/entry/tests/test_admission.py
+++ b/src/limpetlanding/entry/tests/test_admission.py
@@ -6,7 +6,7 @@
 from limpetlanding.entry.tests.rig import connect, make_core
 from limpetlanding.jobs import payloads_digest
 from limpetlanding.policy import OutlierDetector
-from limpetlanding.wire import JobAnswer, TaskResult
+from limpetlanding.wire.job_messages import JobAnswer, TaskResult
 
 
 class Detector(OutlierDetector):
--- a/src/limpetlanding/entry/tests/test_http.py
+++ b/src/limpetlanding/entry/tests/test_http.py
@@ -25,7 +25,7 @@
     serving,
 )
 from limpetlanding.jobs import mint_job_id
-from limpetlanding.wire import RefuseJob, SubmitJob
+from limpetlanding.wire.job_messages import RefuseJob, SubmitJob
 
 SOME_ID = str(mint_job_id(incarnation(1), 1, 'offcut', b'secret'))
 
--- a/src/limpetlanding/entry/tests/test_minting.py
+++ b/src/limpetlanding/entry/tests/test_minting.py
@@ -7,7 +7,7 @@
 from limpetlanding.entry.supply import IdSupply
 from limpetlanding.entry.tests.fakes import FakeAgent, incarnation
 from limpetlanding.jobs import verify_job_id
-from limpetlanding.wire import AllocateIds, IdBlock
+from limpetlanding.wire.job_messages import AllocateIds, IdBlock
 
 OWN = 'sialkot'
 
--- a/src/limpetlanding/entry/tests/test_moves.py
+++ b/src/limpetlanding/entry/tests/test_moves.py
@@ -6,7 +6,7 @@
 from limpetlanding.entry.tests.rig import connect, make_core
 from limpetlanding.jobs import mint_job_id
 from limpetlanding.policy import Move
-from limpetlanding.wire import MoveTasks, Placement, TaskSpec
+from limpetlanding.wire.job_messages import MoveTasks, Placement, TaskSpec
 
 JOB = str(mint_job_id(incarnation(1), 1, 'offcut', b'secret'))
 
--- a/src/limpetlanding/entry/tests/test_role.py
+++ b/src/limpetlanding/entry/tests/test_role.py
@@ -7,7 +7,8 @@
 from limpetlanding.entry.tests.fakes import FakeAgent
 from limpetlanding.entry.tests.rig import Caller, default_contracts, report
 from limpetlanding.settings import Settings
-from limpetlanding.wire import Members, Node
+from limpetlanding.wire import Node
+from limpetlanding.wire.job_messages import Members
 
 
 def settings(number, **changes):
--- a/src/limpetlanding/entry/tests/test_router.py
+++ b/src/limpetlanding/entry/tests/test_router.py
@@ -7,7 +7,7 @@
 from limpetlanding.entry.router import RequestCoalescer, Router
 from limpetlanding.entry.tests.fakes import FakeAgent, incarnation
 from limpetlanding.jobs import mint_job_id
-from limpetlanding.wire import (
+from limpetlanding.wire.job_messages import (
     LocateCoordinator,
     Placement,
     QueryJob,
--- a/src/limpetlanding/entry/view.py
+++ b/src/limpetlanding/entry/view.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 
 from limpetlanding.policy import AgentLoad, OutlierDetector
-from limpetlanding.wire import Hello, LoadReport
+from limpetlanding.wire import Hello
+from limpetlanding.wire.job_messages import LoadReport
 
 MAX_KINDS = 10_000
 
--- a/src/limpetlanding/membership/table.py
+++ b/src/limpetlanding/membership/table.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from limpetlanding.wire import EntryInfo, Hello, Members
+from limpetlanding.wire import Hello
+from limpetlanding.wire.job_messages import EntryInfo, Members
 
 EXPIRY_S = 7200
 """Time without a connection after which an entry is removed. It is twice the
--- a/src/limpetlanding/membership/tests/test_table.py
+++ b/src/limpetlanding/membership/tests/test_table.py
@@ -1,7 +1,7 @@
 import pytest
 
 from limpetlanding.membership import MemberTable
-from limpetlanding.wire import EntryInfo, Members
+from limpetlanding.wire.job_messages import EntryInfo, Members
 
 
 def info(node, incarnation, address=None, region='punjab'):
--- a/src/limpetlanding/policy/load.py
+++ b/src/limpetlanding/policy/load.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from limpetlanding.wire import EndpointLoad, LoadReport
+from limpetlanding.wire.job_messages import EndpointLoad, LoadReport
 
 LONG_TASK_MS = 1000
 """Tasks expected to run at least this long belong to the long class."""
--- a/src/limpetlanding/policy/moves.py
+++ b/src/limpetlanding/policy/moves.py
@@ -7,7 +7,7 @@
 
 from limpetlanding.policy.load import AgentLoad
 from limpetlanding.policy.placement import completion_ms, place, wait_ms
-from limpetlanding.wire import Placement, TaskSpec
+from limpetlanding.wire.job_messages import Placement, TaskSpec
 
 MAX_MOVED_SHARE = 0.04
 """Share of the placed tasks that may be moved. A move costs 5 messages (move,
--- a/src/limpetlanding/policy/placement.py
+++ b/src/limpetlanding/policy/placement.py
@@ -17,7 +17,7 @@
     predict_wait_ms,
     short_wait_ms,
 )
-from limpetlanding.wire import Placement, TaskSpec
+from limpetlanding.wire.job_messages import Placement, TaskSpec
 
 CROSSING_MS = 1.5
 """One-way delay between failure domains."""
--- a/src/limpetlanding/policy/shares.py
+++ b/src/limpetlanding/policy/shares.py
@@ -3,7 +3,11 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
-from limpetlanding.wire import ShareGrant, ShareRequest, ShareReturn
+from limpetlanding.wire.job_messages import (
+    ShareGrant,
+    ShareRequest,
+    ShareReturn,
+)
 
 LEASE_MS = 5000
 
--- a/src/limpetlanding/policy/tests/simulation.py
+++ b/src/limpetlanding/policy/tests/simulation.py
@@ -24,7 +24,7 @@
     system_load,
 )
 from limpetlanding.policy.moves import MAX_MOVED_SHARE
-from limpetlanding.wire import EndpointLoad, LoadReport, TaskSpec
+from limpetlanding.wire.job_messages import EndpointLoad, LoadReport, TaskSpec
 
 REPORT_S = 0.02
 HOP_S = 0.002
--- a/src/limpetlanding/policy/tests/test_placement.py
+++ b/src/limpetlanding/policy/tests/test_placement.py
@@ -20,7 +20,7 @@
     WAIT_WEIGHT,
 )
 from limpetlanding.policy.tests.views import make_load, make_task, make_view
-from limpetlanding.wire import LoadReport
+from limpetlanding.wire.job_messages import LoadReport
 
 
 @st.composite
--- a/src/limpetlanding/policy/tests/test_shares.py
+++ b/src/limpetlanding/policy/tests/test_shares.py
@@ -9,7 +9,11 @@
 )
 
 from limpetlanding.policy import ShareLedger
-from limpetlanding.wire import ShareGrant, ShareRequest, ShareReturn
+from limpetlanding.wire.job_messages import (
+    ShareGrant,
+    ShareRequest,
+    ShareReturn,
+)
 
 NODES = ('e1', 'e2', 'e3')
 LIMIT = 20
--- a/src/limpetlanding/policy/tests/views.py
+++ b/src/limpetlanding/policy/tests/views.py
@@ -1,7 +1,7 @@
 """Builders of tasks, agent loads and views for the policy tests."""
 
 from limpetlanding.policy import AgentLoad
-from limpetlanding.wire import EndpointLoad, TaskSpec
+from limpetlanding.wire.job_messages import EndpointLoad, TaskSpec
 
 
 def make_task(index=0, kind='quote', expected_ms=300, size=0):
--- a/src/limpetlanding/wire/tests/test_codec.py
+++ b/src/limpetlanding/wire/tests/test_codec.py
@@ -9,15 +9,7 @@
 from hypothesis import strategies as st
 
 from limpetlanding.errors import ProtocolError
-from limpetlanding.wire import (
-    MAX_FRAME_BYTES,
-    MESSAGE_TYPES,
-    Ack,
-    Heartbeat,
-    IdBlock,
-    JobAnswer,
-    TaskReport,
-)
+from limpetlanding.wire import MAX_FRAME_BYTES, MESSAGE_TYPES, Ack, Heartbeat
 from limpetlanding.wire.codec import (
     HEADER_BYTES,
     FrameBuffer,
@@ -27,6 +19,7 @@
     encode_frame,
     tag_of,
 )
+from limpetlanding.wire.job_messages import IdBlock, JobAnswer, TaskReport
 
 
 def values_of(hint):
--- a/src/limpetlanding/wire/tests/test_node.py
+++ b/src/limpetlanding/wire/tests/test_node.py
@@ -8,16 +8,18 @@
 from limpetlanding.errors import PeerLost, RequestTimeout
 from limpetlanding.wire import (
     Ack,
-    CancelJob,
     Hello,
-    LocateCoordinator,
-    Located,
     Node,
     NodeOptions,
-    PlaceAgain,
     RemoteError,
     Timing,
 )
+from limpetlanding.wire.job_messages import (
+    CancelJob,
+    LocateCoordinator,
+    Located,
+    PlaceAgain,
+)
 from limpetlanding.wire.tests.faulty_network import FaultyNetwork
 
 A, B = '10.0.0.1:7000', '10.0.0.2:7000'
