Load only its own role in a front or a worker

platform/roles.py and runs/__init__.py imported both roles, so a front loaded the supervisor, the room's executor client and the registration, and a worker the dispatcher and the ingress. telemetry/__init__.py imported aioprometheus, which defeated the late import of the metrics module after the process serves.

Each role has a module now, and the two packages export nothing. The metrics module imports the roles for type checkers only, and DEFAULT_STOP_DURATION_S is with the interfaces in runs/ports.py, because the settings of both roles use it.

--- a/src/limpetlanding/agent/coordinator.py
+++ b/src/limpetlanding/agent/coordinator.py
@@ -18,7 +18,7 @@
     parse_job_id,
     verify_job_id,
 )
-from limpetlanding.telemetry import job_logger
+from limpetlanding.telemetry.logs import job_logger
 from limpetlanding.telemetry.traces import span
 from limpetlanding.wire.job_messages import (
     AllocateIds,
--- a/src/limpetlanding/agent/executor.py
+++ b/src/limpetlanding/agent/executor.py
@@ -14,7 +14,7 @@
 from limpetlanding.errors import PeerLost
 from limpetlanding.jobs import Reason, TaskState
 from limpetlanding.policy.queueing import QueuedTask
-from limpetlanding.telemetry import job_logger
+from limpetlanding.telemetry.logs import job_logger
 from limpetlanding.telemetry.traces import record_span, span
 from limpetlanding.wire.job_messages import (
     LoadReport,
--- a/src/limpetlanding/agent/jobrun.py
+++ b/src/limpetlanding/agent/jobrun.py
@@ -21,7 +21,7 @@
 )
 from limpetlanding.errors import LimpetlandingError, RequestTimeout
 from limpetlanding.jobs import Reason, TaskState
-from limpetlanding.telemetry import job_logger
+from limpetlanding.telemetry.logs import job_logger
 from limpetlanding.wire.job_messages import (
     JobAnswer,
     PlaceAgain,
--- a/src/limpetlanding/agent/metrics.py
+++ b/src/limpetlanding/agent/metrics.py
@@ -1,7 +1,7 @@
 """Metrics of an agent, read from its state on each scrape."""
 
 from limpetlanding.agent.core import AgentCore
-from limpetlanding.telemetry import Metrics
+from limpetlanding.telemetry.metrics import Metrics
 
 
 def export_agent(core: AgentCore, metrics: Metrics) -> None:
--- a/src/limpetlanding/entry/metrics.py
+++ b/src/limpetlanding/entry/metrics.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from limpetlanding.entry.core import EntryCore
-from limpetlanding.telemetry import Metrics
+from limpetlanding.telemetry.metrics import Metrics
 
 
 def export_entry(
--- a/src/limpetlanding/entry/router.py
+++ b/src/limpetlanding/entry/router.py
@@ -11,7 +11,7 @@
 from limpetlanding.entry.answers import AnswerFault, answer_fault
 from limpetlanding.errors import LimpetlandingError, PeerLost, RequestTimeout
 from limpetlanding.jobs import Outcome, Reason, parse_job_id
-from limpetlanding.telemetry import job_logger
+from limpetlanding.telemetry.logs import job_logger
 from limpetlanding.wire import Hello
 from limpetlanding.wire.job_messages import (
     CancelJob,
--- a/src/limpetlanding/entry/submissions.py
+++ b/src/limpetlanding/entry/submissions.py
@@ -15,7 +15,7 @@
 from limpetlanding.entry.minting import IdPool
 from limpetlanding.entry.router import RequestCoalescer, Router
 from limpetlanding.jobs import Outcome, Reason
-from limpetlanding.telemetry import job_logger
+from limpetlanding.telemetry.logs import job_logger
 from limpetlanding.telemetry.traces import span
 from limpetlanding.wire.job_messages import (
     CancelJob,
--- a/src/limpetlanding/platform/control.py
+++ b/src/limpetlanding/platform/control.py
@@ -4,7 +4,7 @@
 from loguru import logger
 
 from limpetlanding.platform.decode import Malformed, decode_executor
-from limpetlanding.runs import UnknownPool, Worker
+from limpetlanding.runs.worker import UnknownPool, Worker
 
 MAX_ANNOUNCEMENT_BYTES = 4 * 1024 * 1024 + 1
 """Announcements may have 4 MiB; aiohttp refuses those that reach the limit."""
--- a/src/limpetlanding/platform/front.py
+++ b/src/limpetlanding/platform/front.py
@@ -9,7 +9,7 @@
     # would end the process during that time.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from limpetlanding.lifecycle.loop import run_process
-    from limpetlanding.platform.roles import run_front
+    from limpetlanding.platform.front_role import run_front
 
     run_process(run_front())
 
--- a/src/limpetlanding/platform/ingress.py
+++ b/src/limpetlanding/platform/ingress.py
@@ -12,7 +12,9 @@
     Unsupported,
     decode_job,
 )
-from limpetlanding.runs import Front, JobAbandoned, JobNotStarted, Queue
+from limpetlanding.runs.dispatcher import JobAbandoned, JobNotStarted
+from limpetlanding.runs.front import Front
+from limpetlanding.runs.model import Queue
 
 DEFAULT_WAIT_S = 30
 """Time limit for submissions without ``X-Deadline-Ms``."""
--- a/src/limpetlanding/platform/roles.py
+++ b/src/limpetlanding/platform/roles.py
@@ -1,4 +1,7 @@
-"""Front and worker processes on the platform: start, service and stop."""
+"""What front and worker processes share: start, settings, metrics and stop.
+
+The roles have modules of their own, so that a process loads only its own role.
+"""
 
 import asyncio
 import signal
@@ -12,9 +15,8 @@
 )
 from importlib import import_module
 from pathlib import Path
-from random import SystemRandom
 from types import ModuleType
-from typing import Any, TypeVar
+from typing import Any, Protocol, TypeVar
 
 from aiohttp import web
 from loguru import logger
@@ -26,19 +28,13 @@
     on_signal,
     stop_on_signals,
 )
-from limpetlanding.platform.control import control_app
-from limpetlanding.platform.executor import ExecutorClient
-from limpetlanding.platform.ingress import client_app, readiness_app
 from limpetlanding.platform.settings import (
     ProcessSettings,
     SettingsError,
     read_settings,
     settings_path,
 )
-from limpetlanding.platform.store import LogStore
-from limpetlanding.runs import Front, Worker
 from limpetlanding.runs.background import log_task_exception
-from limpetlanding.runs.registration import Registration
 from limpetlanding.telemetry.logs import start_logs
 from limpetlanding.telemetry.output import BoundedOutput
 from limpetlanding.wire import (
@@ -49,7 +45,7 @@
     Timing,
 )
 
-Client = TypeVar('Client', LogStore, ExecutorClient)
+Client = TypeVar('Client', bound='Closeable')
 
 LINK_TIMING = Timing(
     heartbeat_s=0.15,
@@ -73,10 +69,6 @@
 SETTINGS_POLL_INTERVAL_S = 1
 """Interval of checks whether the settings file has changed without a SIGHUP."""
 
-BALANCER_DELAY_S = 2.5
-"""Time until the load balancer sends no more requests to a stopping front. It
-checks once a second and removes a front after two failed checks."""
-
 SHUTDOWN_TIMEOUT_S = 0.2
 """Time for requests in progress after a listener has closed; jobs have been
 answered before."""
@@ -90,91 +82,21 @@
 documentation of the platform, unfinished work may be stopped in it."""
 
 
-async def run_front() -> None:
-    """Serve clients until SIGTERM, then finish the jobs in progress."""
-    settings, output = _start_process('front')
-    stop = asyncio.Event()
-    async with (
-        _link_node('front', settings) as node,
-        _closing(LogStore(settings.store_address)) as store,
-    ):
-        front = Front(node, store, settings.seeds, SystemRandom())
-        await node.start()
-        async with (
-            _background_task(front.run()),
-            run_http_server(
-                readiness_app(front),
-                settings.readiness_address,
-                SHUTDOWN_TIMEOUT_S,
-            ),
-            run_http_server(
-                client_app(front), settings.client_address, SHUTDOWN_TIMEOUT_S
-            ),
-            _background_task(
-                _follow_settings(lambda x: front.add_seeds(x.seeds))
-            ),
-            _metrics_served(
-                settings,
-                front.not_ready_reason,
-                lambda: _load_metrics_module().front_status(front),
-                stop.set,
-                lambda: _load_metrics_module().front_metrics(front, output),
-            ),
-        ):
-            await _wait_for_stop(stop)
-            front.begin_stop(settings.grace_s * DRAIN_SHARE)
-            await _finish_jobs(front)
-            logger.bind(step='stop', jobs=len(front.dispatcher.jobs)).info(
-                'closing connections'
-            )
-    logger.bind(step='stop').info('stopped')
-
-
-async def run_worker() -> None:
-    """Run tasks at the executor on this machine until SIGTERM, then drain."""
-    settings, output = _start_process('worker')
-    stop = asyncio.Event()
-    async with (
-        _link_node('worker', settings) as node,
-        _closing(LogStore(settings.store_address)) as store,
-        _closing(
-            ExecutorClient(
-                settings.executor_address, settings.address.rpartition(':')[0]
-            )
-        ) as port,
-    ):
-        worker = Worker(node, port, settings.stop_s)
-        registration = Registration(
-            worker, store, port, settings.pool, SystemRandom()
-        )
-        worker.seed_links.add(settings.seeds)
-        await node.start()
-        async with (
-            run_http_server(
-                control_app(worker),
-                settings.control_address,
-                SHUTDOWN_TIMEOUT_S,
-            ),
-            _background_task(worker.run()),
-            _background_task(registration.run()),
-            _background_task(
-                _follow_settings(lambda x: worker.seed_links.add(x.seeds))
-            ),
-            _metrics_served(
-                settings,
-                lambda: '' if worker.supervisor.reachable else 'no executor',
-                lambda: _load_metrics_module().worker_status(worker),
-                stop.set,
-                lambda: _load_metrics_module().worker_metrics(worker, output),
-            ),
-        ):
-            await _wait_for_stop(stop)
-            await worker.drain(settings.grace_s * DRAIN_SHARE)
-        await worker.supervisor.close()
-    logger.bind(step='stop').info('stopped')
-
-
-def _start_process(role: str) -> tuple[ProcessSettings, BoundedOutput]:
+class Closeable(Protocol):
+    """Client of another system with a connection to close."""
+
+    async def close(self) -> None:
+        """Close the connections."""
+
+
+def start_process(role: str) -> tuple[ProcessSettings, BoundedOutput]:
+    """Read the settings and start the logs of a process.
+
+    Raises
+    ------
+    SettingsError
+        If the settings cannot be used.
+    """
     settings = read_settings(settings_path())
     output = BoundedOutput(sys.stdout.fileno())
     start_logs('INFO', role, settings.node, output.write)
@@ -183,9 +105,10 @@
 
 
 @asynccontextmanager
-async def _link_node(
+async def link_node(
     role: str, settings: ProcessSettings
 ) -> AsyncIterator[Node]:
+    """Yield the node of a process, not yet started, and stop it afterwards."""
     hello = Hello(
         PROTOCOL_VERSION,
         role,
@@ -217,29 +140,45 @@
 
 
 @asynccontextmanager
-async def _closing(client: Client) -> AsyncIterator[Client]:
+async def closing(client: Client) -> AsyncIterator[Client]:
+    """Yield `client` and close it afterwards."""
     try:
         yield client
     finally:
         await client.close()
 
 
-def _load_metrics_module() -> ModuleType:
+def load_metrics_module() -> ModuleType:
     """Import the metrics module.
 
-    The import takes 0.1 s, so it is done after the process serves clients.
+    It loads aioprometheus, so it is imported after the process serves clients.
     """
     return import_module('limpetlanding.runs.metrics')
 
 
 @asynccontextmanager
-async def _metrics_served(
+async def metrics_served(
     settings: ProcessSettings,
     missing: Callable[[], str],
     status: Callable[[], dict[str, Any]],
     stop: Callable[[], None],
     create: Callable[[], Any],
 ) -> AsyncIterator[None]:
+    """Serve metrics and status while the block runs.
+
+    Parameters
+    ----------
+    settings : ProcessSettings
+        They contain the host to listen on.
+    missing : callable
+        Returns why the process is not ready, or an empty text.
+    status : callable
+        Returns the status page.
+    stop : callable
+        Called when an operator asks the process to stop.
+    create : callable
+        Returns the metrics.
+    """
     from limpetlanding.telemetry.service import add_service_routes
 
     host = settings.address.rpartition(':')[0]
@@ -252,9 +191,10 @@
 
 
 @asynccontextmanager
-async def _background_task(
+async def background_task(
     work: Coroutine[Any, Any, None],
 ) -> AsyncIterator[None]:
+    """Run `work` as a task while the block runs; log its exception."""
     task = asyncio.create_task(work)
     task.add_done_callback(log_task_exception)
     try:
@@ -264,7 +204,8 @@
         await asyncio.wait([task])
 
 
-async def _wait_for_stop(stop: asyncio.Event) -> None:
+async def wait_for_stop(stop: asyncio.Event) -> None:
+    """Wait for SIGTERM, SIGINT or `stop`, and ignore the signals from then."""
     with stop_on_signals(stop.set):
         await stop.wait()
     # Another signal must not interrupt the orderly stop.
@@ -273,16 +214,8 @@
     logger.bind(step='stop').info('stop requested')
 
 
-async def _finish_jobs(front: Front) -> None:
-    loop = asyncio.get_running_loop()
-    balancer_informed_at = loop.time() + BALANCER_DELAY_S
-    while loop.time() < front.stop_deadline:
-        if not front.dispatcher.jobs and loop.time() > balancer_informed_at:
-            return
-        await asyncio.sleep(0.05)
-
-
-async def _follow_settings(apply: Callable[[ProcessSettings], None]) -> None:
+async def follow_settings(apply: Callable[[ProcessSettings], None]) -> None:
+    """Call `apply` with the settings after each change of their file."""
     path = settings_path()
     reload_requested = asyncio.Event()
     applied = _modified_ns(path)
--- a/src/limpetlanding/platform/settings.py
+++ b/src/limpetlanding/platform/settings.py
@@ -21,7 +21,7 @@
     optional_number,
     required_field,
 )
-from limpetlanding.runs.supervisor import DEFAULT_STOP_DURATION_S
+from limpetlanding.runs.ports import DEFAULT_STOP_DURATION_S
 from limpetlanding.wire import MAX_PORT, is_ipv4_address
 
 SETTINGS_VARIABLE = 'LIMPETLANDING_CONFIG'
--- a/src/limpetlanding/platform/tests/rig.py
+++ b/src/limpetlanding/platform/tests/rig.py
@@ -14,8 +14,9 @@
 from limpetlanding.platform.ingress import client_app, readiness_app
 from limpetlanding.platform.roles import LINK_TIMING
 from limpetlanding.platform.store import CONFIG_KEY, CONFIG_TOPIC, LogStore
-from limpetlanding.runs import Front, Worker
+from limpetlanding.runs.front import Front
 from limpetlanding.runs.registration import Registration
+from limpetlanding.runs.worker import Worker
 from limpetlanding.standin.platform_bodies import (
     announce,
     configuration,
--- a/src/limpetlanding/platform/tests/test_decode.py
+++ b/src/limpetlanding/platform/tests/test_decode.py
@@ -10,7 +10,7 @@
     read_settings,
     settings_path,
 )
-from limpetlanding.runs import Resources
+from limpetlanding.runs.model import Resources
 
 SETTINGS = {
     'nodeName': 'side-kasur-1',
--- a/src/limpetlanding/platform/tests/test_odd_answers.py
+++ b/src/limpetlanding/platform/tests/test_odd_answers.py
@@ -14,7 +14,7 @@
     with_field,
 )
 from limpetlanding.platform.tests.rig import System, body
-from limpetlanding.runs import RunEnd
+from limpetlanding.runs.model import RunEnd
 from limpetlanding.runs.ports import ActiveRun, EndedRun
 from limpetlanding.standin.platform_executor import StandinExecutor
 
--- a/src/limpetlanding/platform/tests/test_odd_records.py
+++ b/src/limpetlanding/platform/tests/test_odd_records.py
@@ -31,7 +31,7 @@
     serve,
     store_client,
 )
-from limpetlanding.runs import Resources
+from limpetlanding.runs.model import Resources
 from limpetlanding.runs.ports import StoreUnavailable, WorkerRecord
 from limpetlanding.standin.platform_store import StandinStore
 
--- a/src/limpetlanding/platform/tests/test_odd_settings.py
+++ b/src/limpetlanding/platform/tests/test_odd_settings.py
@@ -85,7 +85,7 @@
         monkeypatch.setattr(roles, '_reload_signal', lambda _: nullcontext())
         applied = []
         odd_seed = with_field(FIELDS, 'seeds', b'[%s]' % OTHER_TYPES[4])
-        async with running(roles._follow_settings(applied.append)):
+        async with running(roles.follow_settings(applied.append)):
             await asyncio.sleep(1.5)
             for number, content in enumerate((*ODD_SETTINGS, odd_seed)):
                 path.write_bytes(content)
--- a/src/limpetlanding/runs/metrics.py
+++ b/src/limpetlanding/runs/metrics.py
@@ -1,13 +1,17 @@
 """Metrics and status of fronts and workers, computed on request."""
 
-from typing import Any
+from __future__ import annotations
 
-from limpetlanding.runs.front import Front
-from limpetlanding.runs.worker import Worker
-from limpetlanding.telemetry import Metrics
+from typing import TYPE_CHECKING, Any
+
+from limpetlanding.telemetry.metrics import Metrics
 from limpetlanding.telemetry.output import BoundedOutput
 from limpetlanding.wire.metrics import export_counters
 
+if TYPE_CHECKING:
+    from limpetlanding.runs.front import Front
+    from limpetlanding.runs.worker import Worker
+
 
 def front_metrics(front: Front, output: BoundedOutput) -> Metrics:
     """Return the metrics of a front.
--- a/src/limpetlanding/runs/ports.py
+++ b/src/limpetlanding/runs/ports.py
@@ -11,6 +11,9 @@
 from limpetlanding.errors import LimpetlandingError
 from limpetlanding.runs.model import Catalog, Resources, RunEnd
 
+DEFAULT_STOP_DURATION_S = 0.05
+"""Longest time that the executor takes to stop a run, unless configured."""
+
 
 class ExecutorUnavailable(LimpetlandingError):
     """No usable answer; the call may have been or may yet be executed."""
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -20,6 +20,7 @@
 from limpetlanding.runs.losses import LossKind
 from limpetlanding.runs.model import Resources, RunEnd
 from limpetlanding.runs.ports import (
+    DEFAULT_STOP_DURATION_S,
     CallTarget,
     Executor,
     ExecutorDown,
@@ -75,9 +76,6 @@
 """A run without progress for this long is stopped. The percentage of a healthy
 run changes with each inventory."""
 
-DEFAULT_STOP_DURATION_S = 0.05
-"""Longest time that the executor takes to stop a run, unless configured."""
-
 MAX_ORDER_AGE_S = 1
 """An order that has not been sent to the executor by then is dropped. The front
 counts a silent worker as lost after 0.75 s, and starts its runs elsewhere
--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -16,9 +16,13 @@
 from limpetlanding.runs.loss_reports import send_known_losses, send_loss
 from limpetlanding.runs.losses import ExecutorLoss, LossLedger
 from limpetlanding.runs.model import Catalog, Resources, RunEnd
-from limpetlanding.runs.ports import Executor, ExecutorPort
+from limpetlanding.runs.ports import (
+    DEFAULT_STOP_DURATION_S,
+    Executor,
+    ExecutorPort,
+)
 from limpetlanding.runs.seed_links import SeedLinks
-from limpetlanding.runs.supervisor import DEFAULT_STOP_DURATION_S, RunSupervisor
+from limpetlanding.runs.supervisor import RunSupervisor
 from limpetlanding.runs.tracked_run import RunResult, TrackedRun
 from limpetlanding.runs.trials import StartTimes
 from limpetlanding.wire import Channel, Node
--- a/src/limpetlanding/standin/endpoint.py
+++ b/src/limpetlanding/standin/endpoint.py
@@ -21,7 +21,7 @@
 
 from limpetlanding.jobs import new_incarnation
 from limpetlanding.lifecycle.loop import run_process
-from limpetlanding.telemetry import start_logs
+from limpetlanding.telemetry.logs import start_logs
 
 ANNOUNCE_INTERVAL_S = 1
 MAX_REMEMBERED_CALLS = 10_000
--- a/src/limpetlanding/standin/log.py
+++ b/src/limpetlanding/standin/log.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 
 from limpetlanding.lifecycle.loop import run_process
-from limpetlanding.telemetry import start_logs
+from limpetlanding.telemetry.logs import start_logs
 
 DEFAULT_APPENDS_PER_SECOND = 300
 DEFAULT_RETENTION_S = 604_800.0
--- a/src/limpetlanding/startup/logs.py
+++ b/src/limpetlanding/startup/logs.py
@@ -4,7 +4,7 @@
 from contextlib import contextmanager
 
 from limpetlanding.settings import Settings
-from limpetlanding.telemetry import start_logs
+from limpetlanding.telemetry.logs import start_logs
 from limpetlanding.telemetry.traces import (
     configure_traces,
     otlp_exporter,
--- a/src/limpetlanding/startup/metrics.py
+++ b/src/limpetlanding/startup/metrics.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from limpetlanding.telemetry import Metrics
+from limpetlanding.telemetry.metrics import Metrics
 from limpetlanding.wire import Counters
 from limpetlanding.wire.metrics import export_counters
 
--- a/src/limpetlanding/startup/tests/test_hops.py
+++ b/src/limpetlanding/startup/tests/test_hops.py
@@ -12,7 +12,8 @@
 from limpetlanding.cli.operator import find_log_records
 from limpetlanding.entry.tests.test_system import running_system, task_bodies
 from limpetlanding.standin.endpoint import StandinEndpoint
-from limpetlanding.telemetry import configure_logs, traces
+from limpetlanding.telemetry import traces
+from limpetlanding.telemetry.logs import configure_logs
 from limpetlanding.telemetry.traces import configure_traces, shut_down_traces
 
 TRACE = '4bf92f3577b34da6a3ce929d0e0e4736'
--- a/src/limpetlanding/telemetry/__init__.py
+++ b/src/limpetlanding/telemetry/__init__.py
@@ -1,18 +1,6 @@
 """Logs, metrics, traces and the HTTP routes that every role serves.
 
-Import traces and routes from `limpetlanding.telemetry.traces` and
-`limpetlanding.telemetry.service`. They are not exported here, because they
-import OpenTelemetry and aiohttp, which take longer to load than everything
-else that a process needs to start.
+Import them from `limpetlanding.telemetry.logs` and its siblings. Nothing is
+exported here, because metrics, traces and routes import aioprometheus,
+OpenTelemetry and aiohttp, which a process loads only when it needs them.
 """
-
-from limpetlanding.telemetry.logs import configure_logs, job_logger, start_logs
-from limpetlanding.telemetry.metrics import Metrics, RenderedMetrics
-
-__all__ = (
-    'Metrics',
-    'RenderedMetrics',
-    'configure_logs',
-    'job_logger',
-    'start_logs',
-)
--- a/src/limpetlanding/telemetry/tests/measure_cost.py
+++ b/src/limpetlanding/telemetry/tests/measure_cost.py
@@ -4,7 +4,8 @@
 
 from loguru import logger
 
-from limpetlanding.telemetry import Metrics, configure_logs, job_logger
+from limpetlanding.telemetry.logs import configure_logs, job_logger
+from limpetlanding.telemetry.metrics import Metrics
 from limpetlanding.telemetry.traces import record_span, span
 
 ROUNDS = 20_000
--- a/src/limpetlanding/telemetry/tests/test_logs.py
+++ b/src/limpetlanding/telemetry/tests/test_logs.py
@@ -4,7 +4,7 @@
 import pytest
 from loguru import logger
 
-from limpetlanding.telemetry import configure_logs
+from limpetlanding.telemetry.logs import configure_logs
 
 
 @pytest.fixture
--- a/src/limpetlanding/telemetry/tests/test_metrics.py
+++ b/src/limpetlanding/telemetry/tests/test_metrics.py
@@ -1,6 +1,6 @@
 import pytest
 
-from limpetlanding.telemetry import Metrics
+from limpetlanding.telemetry.metrics import Metrics
 
 
 class TestMetrics:
--- a/src/limpetlanding/telemetry/tests/test_service.py
+++ b/src/limpetlanding/telemetry/tests/test_service.py
@@ -5,7 +5,7 @@
 import pytest
 from aiohttp import web
 
-from limpetlanding.telemetry import Metrics
+from limpetlanding.telemetry.metrics import Metrics
 from limpetlanding.telemetry.service import _is_loopback, add_service_routes
 
 
--- a/src/limpetlanding/wire/metrics.py
+++ b/src/limpetlanding/wire/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of a node, copied from its counters whenever they are rendered."""
 
-from limpetlanding.telemetry import Metrics
+from limpetlanding.telemetry.metrics import Metrics
 from limpetlanding.wire.counters import Counters, Traffic
 
 
