Collect no garbage while a process loads its modules

Modules stay until the process ends, but the collector searched their objects again and again while they were loaded. It is switched off for the imports, and the loaded objects are frozen, so that the first collection under load does not walk through them.

Tried and left out, as they brought nothing outside the noise: python3 -P, pyc files without position tables (-X no_debug_ranges).

--- a/src/limpetlanding/platform/tests/test_start.py
+++ b/src/limpetlanding/platform/tests/test_start.py
@@ -1,12 +1,17 @@
 """Modules that a process loads before it serves."""
 
+import gc
 import os
 import re
+import signal
 import subprocess
 import sys
 
 import pytest
 
+from limpetlanding.lifecycle import loop
+from limpetlanding.platform import front, worker
+
 LOADED_LATER = {
     'aioprometheus',
     'limpetlanding.runs.metrics',
@@ -98,3 +103,28 @@
         assert own <= loaded
         unneeded = LOADED_LATER | NEVER_LOADED | others
         assert not in_packages(loaded, unneeded)
+
+
+class TestLoading:
+    """Guards against a process left as it is prepared for its imports."""
+
+    @pytest.mark.parametrize('role', [front, worker])
+    def test_garbage_is_collected_once_modules_are_loaded(
+        self, role, monkeypatch
+    ):
+        collected = []
+
+        def run_process(work):
+            work.close()
+            collected.append(gc.isenabled())
+
+        monkeypatch.setattr(loop, 'run_process', run_process)
+        handler = signal.getsignal(signal.SIGHUP)
+        try:
+            role.main()
+            ignored = signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+        finally:
+            signal.signal(signal.SIGHUP, handler)
+            gc.unfreeze()
+        assert collected == [True]
+        assert ignored
--- a/src/limpetlanding/platform/worker.py
+++ b/src/limpetlanding/platform/worker.py
@@ -1,15 +1,13 @@
 """Process of a worker: ``python -m limpetlanding.platform.worker``."""
 
-import signal
+from limpetlanding.platform.loading import loading_modules
 
 
 def main() -> None:
     """Run the process until SIGTERM."""
-    # Loading the modules takes 0.4 s. SIGHUP, which reports changed settings,
-    # would end the process during that time.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    from limpetlanding.lifecycle.loop import run_process
-    from limpetlanding.platform.worker_role import run_worker
+    with loading_modules():
+        from limpetlanding.lifecycle.loop import run_process
+        from limpetlanding.platform.worker_role import run_worker
 
     run_process(run_worker())
 
