--- a/src/limpetlanding/runs/ports.py
+++ b/src/limpetlanding/runs/ports.py
@@ -15,6 +15,9 @@
 """Sequence of an executor of which this process has no announcement. Its pool
 and labels are assumed, and its capacity counts as zero."""
 
+DEFAULT_STOP_DURATION_S = 0.05
+"""Longest time that the executor takes to stop a run, unless configured."""
+
 
 class ExecutorUnavailable(LimpetlandingError):
     """No usable answer; the call may have been or may yet be executed."""
