Ask the kernel once for each sending of an order, and log withdrawn orders

The front asked twice: before the log line and before the sending. The line of an order that is withdrawn says whether it was sent before and whether the job had ended.

--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -595,7 +595,7 @@
             report.executor,
             report.revision,
         )
-        if active.is_wanted:
+        if not active.ended:
             self._record_order(active, view, tasks, is_trial)
         try:
             reply = await view.channel.request(
@@ -642,6 +642,13 @@
         error: RequestWithdrawn,
     ) -> None:
         """End the job of an order that was not wanted when it was sent."""
+        logger.bind(
+            request_id=active.job.job_id,
+            step='order',
+            peer=view.name,
+            sent=error.sent,
+            ended=active.ended,
+        ).info('order withdrawn')
         active.may_have_run |= error.sent
         # If it was sent before, the end of the job stops what it started.
         if not error.sent:
