--- a/src/limpetlanding/runs/tests/contention.py
+++ b/src/limpetlanding/runs/tests/contention.py
@@ -47,7 +47,6 @@
     speed: float
     run_ratio: float
     used: int = 0
-    queued: list = field(default_factory=list)
     reported_at: float = -1
     report_due: bool = False
 
@@ -61,9 +60,7 @@
             self.cpu,
             131_072,
             0,
-            self.cpu
-            - self.used
-            - sum(x.step.need.cpu for x, *_ in self.queued),
+            self.cpu - self.used,
             131_072,
             0,
             True,
@@ -123,8 +120,6 @@
         Arrivals at all fronts together.
     new_fleet : callable
         Returns the fleet of a front, by failure domain and source of chance.
-    wait_s : float
-        How long a worker keeps an order for which it has no room.
     """
 
     def __init__(
@@ -134,11 +129,9 @@
         workers=17,
         jobs_per_s=55.0,
         new_fleet=Fleet,
-        wait_s=0,
     ):
         self.rng = Random(seed)
         self.jobs_per_s = jobs_per_s
-        self.wait_s = wait_s
         self.figures = Figures()
         self.events = []
         self.order = count()
@@ -245,21 +238,24 @@
                 )
 
     def _order(self, front, worker, view, tasks):
-        open_tasks = {}
         refused = []
-        order = front, worker, view, [x.key for x in tasks], open_tasks, refused
         for task in tasks:
             self.figures.tasks_ordered += 1
-            if self._try_start(order, task):
-                continue
-            open_tasks[task.key] = task
-            worker.queued.append((task, order))
-            self._schedule(self.wait_s, self._expire, order, task, task.key)
-        self._answer_if_complete(order)
+            if not self._try_start(front, worker, view, task):
+                self.figures.tasks_refused += 1
+                refused.append(task)
+        self._send(
+            (worker, front),
+            self._answer,
+            front,
+            view,
+            tasks,
+            refused,
+            worker.report(),
+        )
         self._report(worker)
 
-    def _try_start(self, order, task):
-        front, worker, view, *_ = order
+    def _try_start(self, front, worker, view, task):
         need = task.step.need.cpu
         if worker.used + need > worker.cpu:
             return False
@@ -276,40 +272,10 @@
         )
         return True
 
-    def _expire(self, order, task, key):
-        _, worker, _, _, open_tasks, refused = order
-        if open_tasks.pop(key, None) is None:
-            return
-        worker.queued.remove((task, order))
-        self.figures.tasks_refused += 1
-        refused.append(task)
-        self._answer_if_complete(order)
-        self._report(worker)
-
-    def _start_queued(self, worker):
-        for task, order in list(worker.queued):
-            if self._try_start(order, task):
-                worker.queued.remove((task, order))
-                order[4].pop(task.key)
-                self._answer_if_complete(order)
-
-    def _answer_if_complete(self, order):
-        front, worker, view, keys, open_tasks, refused = order
-        if not open_tasks:
-            self._send(
-                (worker, front),
-                self._answer,
-                front,
-                view,
-                keys,
-                refused,
-                worker.report(),
-            )
-
-    def _answer(self, front, view, keys, refused, report):
+    def _answer(self, front, view, tasks, refused, report):
         front.fleet.update(view.channel, report, self.now)
-        for key in keys:
-            view.settle_order(key)
+        for task in tasks:
+            view.settle_order(task.key)
         for task in refused:
             view.runs.pop(task.key)
             task.job.remove_run(task)
@@ -318,7 +284,6 @@
 
     def _end(self, front, worker, view, task):
         worker.used -= task.step.need.cpu
-        self._start_queued(worker)
         self._send(
             (worker, front), self._ended, front, view, task, worker.report()
         )
