Test that a task which waited is not started for a client that has left

The former test passed without the check: its job was refused as hopeless, and the replaced is_connected was never called, since the function had been bound before. The new one has a job that waits for room and is wanted until then; without the check it fails. A transport without a socket or with a closed one raised an error.

--- a/src/limpetlanding/lifecycle/connections.py
+++ b/src/limpetlanding/lifecycle/connections.py
@@ -10,7 +10,8 @@
 
     A busy event loop may read a request long before it reads that the
     connection has been closed or reset, so this asks the kernel. A transport
-    without a descriptor of the kernel counts as connected until it closes.
+    without a descriptor of the kernel, as in memory, counts as connected until
+    it closes.
 
     Parameters
     ----------
@@ -20,9 +21,12 @@
     transport = request.transport
     if transport is None or transport.is_closing():
         return False
-    descriptor = transport.get_extra_info('socket').fileno()
+    connection = transport.get_extra_info('socket')
+    descriptor = None if connection is None else connection.fileno()
     if not isinstance(descriptor, int):
         return True
+    if descriptor < 0:
+        return False
     poller = select.poll()
     poller.register(descriptor, select.POLLRDHUP)
     return not poller.poll(0)
--- a/src/limpetlanding/platform/ingress.py
+++ b/src/limpetlanding/platform/ingress.py
@@ -1,7 +1,6 @@
 """HTTP interface of a front for clients and the load balancer."""
 
 import re
-from functools import partial
 
 import orjson
 from aiohttp import web
@@ -107,7 +106,7 @@
             queue,
             wait_s,
             catalog.version,
-            partial(is_connected, request),
+            lambda: is_connected(request),
         )
     except JobNotStarted as error:
         return _service_unavailable(error.detail, error.retry_after_s)
--- a/src/limpetlanding/platform/tests/test_resubmissions.py
+++ b/src/limpetlanding/platform/tests/test_resubmissions.py
@@ -16,6 +16,7 @@
 START_S = 0.1
 WORK_S = 3
 LATE_STOP_S = 4
+FILLING_WORK_S = 0.8
 # Time after which the platform's clients send a job again.
 RESUBMISSION_DELAY_S = 1.3
 OK = 200
@@ -87,20 +88,23 @@
             assert not any(worker.starts.job_id for worker in system.workers)
             job.cancel()
 
-    async def test_task_is_not_started_after_a_refusal(self, monkeypatch):
+    async def test_task_that_waited_is_not_started(self, monkeypatch):
         async with FaultySystem(worker_count=1).run() as system:
             for executor in system.executors:
-                executor.work_s = lambda _: WORK_S
+                executor.work_s = lambda _: FILLING_WORK_S
             filling = asyncio.create_task(
                 system.submit('f' * 16, body(1, cpu=30_000), WAIT_MS)
             )
             await asyncio.sleep(START_S)
             job = submit(system)
             await asyncio.sleep(START_S)
+            (dispatcher,) = (front.dispatcher for front in system.fronts)
+            assert dispatcher.jobs[JOB].waiting
             monkeypatch.setattr(ingress, 'is_connected', lambda _: False)
-            await filling
+            assert (await filling)[0] == OK
             await system.settle(1)
             assert len(system.history()) == 1
+            assert JOB not in dispatcher.jobs
             job.cancel()
 
 
