--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
+from contextlib import suppress
 from math import inf
 from random import Random
 
@@ -139,6 +140,8 @@
         self.jobs: dict[str, ActiveJob] = {}
         self.ended_jobs: dict[str, ActiveJob] = {}
         self.cancelled: set[str] = set()
+        # Whether the jobs have been abandoned, because the front stops.
+        self.is_stopping = False
         self.losses = LossLedger()
         self.worker_losses = WorkerLosses(rng)
         # Called with what this front reports of lost executors.
@@ -207,33 +210,18 @@
             If the job did not end in time, or the front stops, but a task may
             have been started; or if runs of an earlier submission go on.
         """
-        if job.job_id in self.cancelled:
-            return JobState.FAILED
         submitted_at = self.now()
-        if job.job_id not in self.jobs:
+        if not (job.job_id in self.cancelled or job.job_id in self.jobs):
             await self._wait_for_earlier(job.job_id, wait_s)
+        # It may have been cancelled during the wait.
+        if job.job_id in self.cancelled:
+            return JobState.FAILED
         active = self.jobs.get(job.job_id)
         if active is None:
             if self._has_deadly_task(job.job_id):
                 return JobState.FAILED
             active = self._add_job(job, queue, wait_s, version, submitted_at)
-        active.clients.append(is_connected)
-        answer = 'client gone'
-        try:
-            async with asyncio.timeout(submitted_at + wait_s - self.now()):
-                state = await asyncio.shield(active.outcome)
-            answer = state.value
-            return state
-        except TimeoutError:
-            answer = _unfinished_answer(active)
-            raise self._unfinished_error(active) from None
-        except LimpetlandingError:
-            answer = _unfinished_answer(active)
-            raise
-        finally:
-            active.clients.remove(is_connected)
-            if not active.clients:
-                self._end_job(active, answer)
+        return await self._answer(active, is_connected, submitted_at + wait_s)
 
     def cancel(self, job_id: str) -> bool:
         """Cancel a job; its waiting clients receive the state ``failed``.
@@ -259,6 +247,10 @@
 
     def abandon_all(self) -> None:
         """Answer all active jobs as unfinished, because the front stops."""
+        self.is_stopping = True
+        for earlier in self.ended_jobs.values():
+            # Ends the waits of resubmissions.
+            earlier.no_runs_left.set()
         for active in list(self.jobs.values()):
             if not active.outcome.done():
                 active.outcome.set_exception(self._unfinished_error(active))
@@ -355,6 +347,31 @@
                 active.outcome.set_result(JobState.FAILED)
         return is_new
 
+    async def _answer(
+        self,
+        active: ActiveJob,
+        is_connected: Callable[[], bool],
+        waits_until: float,
+    ) -> JobState:
+        """Return the final state of a job to one of its clients."""
+        active.clients.append(is_connected)
+        answer = 'client gone'
+        try:
+            async with asyncio.timeout(waits_until - self.now()):
+                state = await asyncio.shield(active.outcome)
+            answer = state.value
+            return state
+        except TimeoutError:
+            answer = _unfinished_answer(active)
+            raise self._timeout_error(active) from None
+        except LimpetlandingError:
+            answer = _unfinished_answer(active)
+            raise
+        finally:
+            active.clients.remove(is_connected)
+            if not active.clients:
+                self._end_job(active, answer)
+
     def _has_deadly_task(self, job_id: str) -> bool:
         task = self.losses.deadly_task(job_id)
         if not task:
@@ -379,18 +396,16 @@
         earlier = self.ended_jobs.get(job_id)
         if earlier is None or not earlier.placed:
             return
-        try:
+        with suppress(TimeoutError):
             async with asyncio.timeout(min(wait_s, MAX_RESUBMISSION_WAIT_S)):
                 await earlier.no_runs_left.wait()
-        except TimeoutError:
+        if earlier.placed or self.is_stopping:
             self.counts['jobs_earlier_runs_left'] += 1
             detail = f'{len(earlier.placed)} earlier runs have not ended'
             logger.bind(request_id=job_id, step='submit').info(
                 'job not accepted: {}', detail
             )
-            raise JobAbandoned(
-                detail, step='submit', peer=earlier.queue.pool
-            ) from None
+            raise JobAbandoned(detail, step='submit', peer=earlier.queue.pool)
 
     def _add_job(
         self,
@@ -435,6 +450,12 @@
         )
         return active
 
+    def _timeout_error(self, active: ActiveJob) -> LimpetlandingError:
+        if len(active.clients) > 1:
+            detail = 'the job goes on for another client'
+            return JobAbandoned(detail, step='dispatch', peer=active.queue.pool)
+        return self._unfinished_error(active)
+
     def _unfinished_error(self, active: ActiveJob) -> LimpetlandingError:
         detail = (
             f'{len(active.waiting)} tasks waiting, {len(active.placed)} running'
@@ -599,7 +620,7 @@
             self._record_order(active, view, tasks, is_trial)
         try:
             reply = await view.channel.request(
-                message, ORDER_TIMEOUT_S, lambda: active.is_wanted
+                message, ORDER_TIMEOUT_S, lambda: self._is_wanted(active)
             )
         except RequestWithdrawn as error:
             self._handle_withdrawn_order(active, view, keys, error)
@@ -641,7 +662,11 @@
         keys: dict[str, str],
         error: RequestWithdrawn,
     ) -> None:
-        """End the job of an order that was not wanted when it was sent."""
+        """Process an order that was not wanted when it was to be sent.
+
+        Unless the job is decided, its clients have left or have waited for
+        long enough, and it ends. A client may have joined it meanwhile.
+        """
         logger.bind(
             request_id=active.job.job_id,
             step='order',
@@ -649,13 +674,25 @@
             sent=error.sent,
             ended=active.ended,
         ).info('order withdrawn')
-        active.may_have_run |= error.sent
-        # If it was sent before, the end of the job stops what it started.
-        if not error.sent:
+        if error.sent:
+            self._handle_lost_order(active, view, keys, error)
+        else:
             for key in keys.values():
                 self._return_to_waiting(view, key)
-        if not active.outcome.done():
-            active.outcome.cancel()
+        if active.outcome.done() or self._is_wanted(active):
+            return
+        if active.is_wanted:
+            self._give_up(active)
+        else:
+            self._end_job(active, 'client gone')
+
+    def _is_wanted(self, active: ActiveJob) -> bool:
+        """Tell whether tasks of a job may be started now."""
+        return (
+            not active.outcome.done()
+            and self.now() <= active.waits_until
+            and active.is_wanted
+        )
 
     def _handle_lost_order(
         self,
