--- a/src/limpetlanding/platform/ingress.py
+++ b/src/limpetlanding/platform/ingress.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 from loguru import logger
 
-from limpetlanding.lifecycle.connections import is_connected
+from limpetlanding.lifecycle.connections import connection_check
 from limpetlanding.platform.decode import (
     MAX_NUMBER,
     Malformed,
@@ -106,7 +106,7 @@
             queue,
             wait_s,
             catalog.version,
-            lambda: is_connected(request),
+            connection_check(request),
         )
     except JobNotStarted as error:
         return _service_unavailable(error.detail, error.retry_after_s)
--- a/src/limpetlanding/platform/tests/test_resubmissions.py
+++ b/src/limpetlanding/platform/tests/test_resubmissions.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from limpetlanding.platform import ingress
+from limpetlanding.lifecycle import connections
 from limpetlanding.platform.tests.faulty_system import (
     FaultySystem,
     link_address,
@@ -79,7 +79,7 @@
     """
 
     async def test_job_is_not_started(self, monkeypatch):
-        monkeypatch.setattr(ingress, 'is_connected', lambda _: False)
+        monkeypatch.setattr(connections, 'is_connected', lambda _: False)
         async with FaultySystem().run() as system:
             job = submit(system)
             await system.settle(1)
@@ -100,7 +100,7 @@
             await asyncio.sleep(START_S)
             (dispatcher,) = (front.dispatcher for front in system.fronts)
             assert dispatcher.jobs[JOB].waiting
-            monkeypatch.setattr(ingress, 'is_connected', lambda _: False)
+            monkeypatch.setattr(connections, 'is_connected', lambda _: False)
             assert (await filling)[0] == OK
             await system.settle(1)
             assert len(system.history()) == 1
