--- a/src/limpetlanding/lifecycle/tests/test_connections.py
+++ b/src/limpetlanding/lifecycle/tests/test_connections.py
@@ -10,7 +10,12 @@
 import uvloop
 from aiohttp import web
 
-from limpetlanding.lifecycle.connections import is_connected
+from limpetlanding.lifecycle import connections
+from limpetlanding.lifecycle.connections import (
+    MAX_ANSWER_AGE_S,
+    connection_check,
+    is_connected,
+)
 
 REQUEST = b'GET / HTTP/1.1\r\nHost: desk.example\r\n\r\n'
 # Time in which the kernel passes on a close between two local sockets.
@@ -69,3 +74,24 @@
         with asyncio.Runner(loop_factory=new_loop) as runner:
             seen = runner.run(connected_after(leave))
         assert seen == [True, not is_left]
+
+
+class TestAnswerAge:
+    """Guards against a system call for each order, and against an old answer."""
+
+    async def test_kernel_is_asked_again_when_the_answer_is_old(
+        self, monkeypatch
+    ):
+        asked = []
+
+        def leave(request):
+            asked.append(request)
+            return len(asked) == 1
+
+        monkeypatch.setattr(connections, 'is_connected', leave)
+        check = connection_check('request')
+        assert check()
+        assert check()
+        assert asked == ['request']
+        await asyncio.sleep(2 * MAX_ANSWER_AGE_S)
+        assert not check()
