--- a/src/limpetlanding/lifecycle/tests/test_connections.py
+++ b/src/limpetlanding/lifecycle/tests/test_connections.py
@@ -77,7 +77,7 @@
 
 
 class TestAnswerAge:
-    """Guards against a system call for each order, and against an old answer."""
+    """Guards against a call of the kernel for each order, and an old answer."""
 
     async def test_kernel_is_asked_again_when_the_answer_is_old(
         self, monkeypatch
