--- a/review/bed.py
+++ b/review/bed.py
@@ -28,6 +28,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST = 'nony24.example'
 PREFIX = '/lohu930/'
+OTHER_PREFIX = '/bopu901/'
 POOL = 'bundle-desk'
 ZONES = ('sialkot', 'kasur', 'lahore')
 METRICS_PORT = 9464
@@ -297,18 +298,24 @@
                     )
             await asyncio.sleep(0.2 if status is None else HEARTBEAT_S)
 
-    def publish(self, version: int = 7) -> None:
-        """Publish the configuration, as the operator does."""
-        content = configuration(
-            version,
-            HOST,
-            PREFIX,
-            POOL,
-            maxAttempts=3,
-            stretch=1.6,
-            targetLatencyMs=60,
-        )
-        self.store.put('keyed.op', 'config', content)
+    def publish(self, version: int, prefixes: tuple[str, ...]) -> None:
+        """Publish a configuration with one route for each path prefix."""
+        contents = [
+            configuration(
+                version,
+                HOST,
+                prefix,
+                POOL,
+                name=f'r{prefix.strip("/")}',
+                maxAttempts=3,
+                stretch=1.6,
+                targetLatencyMs=60,
+            )
+            for prefix in prefixes
+        ]
+        routes = [content['routes'][0] for content in contents]
+        self.store.put('keyed.op', 'config', contents[0] | {'routes': routes})
+        self.note(f'configuration {version} acknowledged: {prefixes}')
 
 
 @asynccontextmanager
@@ -322,7 +329,7 @@
         bed.session = await stack.enter_async_context(
             aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         )
-        bed.publish()
+        bed.publish(7, (PREFIX, OTHER_PREFIX))
         await stack.enter_async_context(
             run_http_server(bed.store.app(), bed.store_address, 0.1)
         )
