--- /dev/null
+++ b/src/limpetlanding/runs/registry.py
@@ -0,0 +1,140 @@
+"""What a process knows of the fate of jobs and runs.
+
+Messages may arrive late, twice or after a message that revokes them. Before a
+worker starts a run and before a front accepts a job, it asks here whether the
+run or job has been refused, stopped, ended or cancelled before.
+
+Times are in monotonic seconds and passed in by the caller. Entries are dropped
+after a retention time, and the oldest ones beyond a maximum number.
+"""
+
+from collections.abc import Hashable
+from enum import StrEnum
+from typing import Any, Generic, TypeVar
+
+from limpetlanding.runs.jobs import ActiveJob
+
+RUN_RETENTION_S = 10
+"""How long a worker remembers a run that it does not have any more, or never
+had. A copy of its order arrives within two seconds or not at all."""
+
+MAX_REMEMBERED_RUNS = 4000
+"""Runs that a worker remembers, at about 250 bytes each; it covers 400 starts a
+second during the retention."""
+
+JOB_RETENTION_S = 30
+"""How long a front remembers cancelled and ended jobs for submissions that
+arrive again."""
+
+MAX_REMEMBERED_JOBS = 20_000
+"""Jobs of each kind that a front remembers; it covers 660 jobs a second during
+the retention."""
+
+Key = TypeVar('Key', bound=Hashable)
+Value = TypeVar('Value')
+
+
+class RecentEntries(Generic[Key, Value]):
+    """Entries of the last seconds, in the order in which they were recorded.
+
+    Parameters
+    ----------
+    retention_s : float
+        Time in seconds after which an entry is dropped.
+    max_count : int
+        Number of entries beyond which the oldest are dropped.
+
+    Examples
+    --------
+    >>> recent = RecentEntries(retention_s=10, max_count=2)
+    >>> recent.record('a', 1, now=0)
+    >>> recent.record('b', 2, now=5)
+    >>> recent.get('a', now=9), recent.get('a', now=11)
+    (1, None)
+    >>> recent.record('c', 3, now=11)
+    >>> recent.keys(now=11)
+    ['b', 'c']
+    """
+
+    def __init__(self, retention_s: float, max_count: int) -> None:
+        self.retention_s = retention_s
+        self.max_count = max_count
+        self.entries: dict[Key, tuple[float, Value]] = {}
+
+    def record(self, key: Key, value: Value, now: float) -> None:
+        """Record an entry, in place of an earlier one with the same key."""
+        self.entries.pop(key, None)
+        self.entries[key] = now, value
+        while self._oldest_is_outdated(now):
+            self.entries.pop(next(iter(self.entries)))
+
+    def get(self, key: Key, now: float) -> Value | None:
+        """Return the value of an entry, or None if there is none."""
+        recorded_at, value = self.entries.get(key, (now, None))
+        return value if now - recorded_at <= self.retention_s else None
+
+    def keys(self, now: float) -> list[Key]:
+        """Return the keys, those recorded first at the beginning."""
+        return [key for key in self.entries if self.get(key, now) is not None]
+
+    def _oldest_is_outdated(self, now: float) -> bool:
+        recorded_at, _ = next(iter(self.entries.values()))
+        is_surplus = len(self.entries) > self.max_count
+        return is_surplus or now - recorded_at > self.retention_s
+
+
+class RunFate(StrEnum):
+    """What a worker has decided about a run that it does not have."""
+
+    REFUSED = 'refused before'
+    # A front has stopped the run before its order arrived.
+    STOPPED = 'stopped before'
+    ENDED = 'ended before'
+
+
+class RunRegistry:
+    """Runs that a worker has refused, stopped before they came, or ended.
+
+    A run is known by the incarnation of its front and its key, since each front
+    numbers the runs of a task from 1.
+    """
+
+    def __init__(self) -> None:
+        self.fates: RecentEntries[tuple[str, str], RunFate] = RecentEntries(
+            RUN_RETENTION_S, MAX_REMEMBERED_RUNS
+        )
+
+    def record(self, owner: str, key: str, fate: RunFate, now: float) -> None:
+        """Record the fate of a run; one that has ended stays ended."""
+        if self.fate(owner, key, now) is not RunFate.ENDED:
+            self.fates.record((owner, key), fate, now)
+
+    def fate(self, owner: str, key: str, now: float) -> RunFate | None:
+        """Return the fate of a run; None if nothing is known of it."""
+        return self.fates.get((owner, key), now)
+
+
+class JobRegistry:
+    """Jobs that a front has answered, or of which other fronts have told it.
+
+    A submission of such a job may arrive again, at this front or another.
+    """
+
+    def __init__(self) -> None:
+        self.ended: RecentEntries[str, ActiveJob] = _recent_jobs()
+        self.cancelled: RecentEntries[str, bool] = _recent_jobs()
+        self.run_elsewhere: RecentEntries[str, bool] = _recent_jobs()
+
+    def is_cancelled(self, job_id: str, now: float) -> bool:
+        """Tell whether a client has cancelled the job."""
+        return self.cancelled.get(job_id, now) is not None
+
+    def may_have_run(self, job_id: str, now: float) -> bool:
+        """Tell whether a task of the job may have been started before."""
+        earlier = self.ended.get(job_id, now)
+        has_run_here = earlier is not None and earlier.has_run
+        return has_run_here or self.run_elsewhere.get(job_id, now) is not None
+
+
+def _recent_jobs() -> RecentEntries[str, Any]:
+    return RecentEntries(JOB_RETENTION_S, MAX_REMEMBERED_JOBS)
