Reject orders that were on their way for longer than their front waits

Cause: nothing between a front and the executor asked how old an order was on arrival. MAX_ORDER_AGE_S counted from the arrival at the worker, so that an order could be held up on a link and then wait for another second. How long a link can hold an order up followed only from the silence after which links are dropped (0.45 s, and 1.8 s for an idle link).

Change: heartbeats and orders carry the time of their sending. The age of an accepted order counts from its sending. Refusals log the age, which tells orders that were held up from others.

An earlier build sends no times; its orders are treated as before. The test of the order that is refused failed before (accepted). The test in test_resubmissions.py passed before, too: a client that returns while the order to its first front is held up hadn't been played.

--- a/src/limpetlanding/platform/tests/test_resubmissions.py
+++ b/src/limpetlanding/platform/tests/test_resubmissions.py
@@ -23,12 +23,27 @@
 TIMED_OUT = 504
 # Within the time for an answer to an order.
 UNLINKED_S = 0.2
+# Time after which links have slow heartbeats.
+IDLE_S = 1
+# Longer than the client takes to return; an idle link may be silent for 1.8 s.
+HELD_UP_S = 1.5
+RETRANSMISSION_S = 0.03
 
 
-def submit(system, wait_ms=WAIT_MS):
+def submit(system, wait_ms=WAIT_MS, front=0):
     """Submit a job of one task in the background."""
     content = body(1, estimateMs=2000)
-    return asyncio.create_task(system.submit(JOB, content, wait_ms))
+    return asyncio.create_task(system.submit(JOB, content, wait_ms, front))
+
+
+def delay_orders(system, seconds):
+    """Delay each segment from the first front to the workers."""
+    for number in range(system.worker_count):
+        worker = f'w{number}'
+        for link in system.links_between('f0', worker):
+            is_dialed = link.address == link_address(worker)
+            direction = link.to_server if is_dialed else link.to_client
+            direction.delay_s = seconds
 
 
 async def cut_off_late_worker(system):
@@ -71,6 +86,22 @@
             assert not worker.starts.job_id
             assert not system.history()
 
+    async def test_order_that_was_held_up_is_not_started_beside_another(self):
+        # Guards against two runs if segments of a link are lost.
+        async with FaultySystem(worker_count=2, front_count=2).run() as system:
+            for executor in system.executors:
+                executor.work_s = lambda _: WORK_S
+            await asyncio.sleep(IDLE_S)
+            delay_orders(system, HELD_UP_S)
+            job = submit(system)
+            await asyncio.sleep(START_S)
+            delay_orders(system, RETRANSMISSION_S)
+            job.cancel()
+            await asyncio.sleep(RESUBMISSION_DELAY_S)
+            again = submit(system, front=1)
+            assert (await again)[0] == OK
+            assert len(system.history()) == 1
+
 
 class TestClientThatHasLeft:
     """Guards against starts for a client whose close has not been read yet.
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -615,6 +615,7 @@
             is_trial,
             report.executor,
             report.revision,
+            deadline_ms=1000 * ORDER_TIMEOUT_S,
         )
         if not active.ended:
             self._record_order(active, view, tasks, is_trial)
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -78,9 +78,9 @@
 run changes with each inventory."""
 
 MAX_ORDER_AGE_S = 1
-"""An order that has not been sent to the executor by then is dropped. The front
-counts a silent worker as lost after 0.75 s, and starts its runs elsewhere
-1.77 s later."""
+"""An order that has not been sent to the executor by then is dropped; it counts
+from the sending of the order by the front. The front counts a silent worker as
+lost after 0.75 s, and starts its runs elsewhere 1.77 s later."""
 
 MAX_CAPACITY_AGE_S = 4
 """An older capacity grants no room, since it may have changed. Executors
@@ -647,7 +647,7 @@
         if held.revision != self.revision:
             return 'other labels or another pool were announced'
         if self.now() - held.ordered_at > MAX_ORDER_AGE_S:
-            return 'this process was suspended'
+            return 'the order is too old'
         if self._is_capacity_outdated():
             return 'capacity not announced lately'
         return 'no room is left' if self.room.is_overfull() else ''
--- a/src/limpetlanding/runs/tests/test_worker.py
+++ b/src/limpetlanding/runs/tests/test_worker.py
@@ -41,7 +41,10 @@
         peer = SimpleNamespace(
             role='front', node='f0', incarnation='f0-1', loss_reports=True
         )
-        self.channel = SimpleNamespace(peer=peer)
+        self.channel = SimpleNamespace(
+            peer=peer, transit_s=lambda _: self.age_s
+        )
+        self.age_s = 0
 
     def announce(self, change):
         """Let the executor announce itself with other attributes."""
@@ -90,6 +93,35 @@
         await worker.background.cancel()
 
 
+class TestLateOrder:
+    """Guards against starts that their front has given up."""
+
+    async def test_order_that_was_on_its_way_for_too_long_is_rejected(self):
+        async with ordered_worker() as ordered:
+            message = order(ordered.worker.report(), deadline_ms=500)
+            ordered.age_s = 0.6
+            reply = ordered.start(message)
+            await asyncio.sleep(0.1)
+            assert reply.reason == 'the order arrived too late'
+            assert not reply.taken
+            assert not ordered.port.starts
+
+    async def test_order_that_was_held_up_for_less_is_accepted(self):
+        async with ordered_worker() as ordered:
+            message = order(ordered.worker.report(), deadline_ms=500)
+            ordered.age_s = 0.4
+            assert ordered.start(message).taken
+
+    async def test_time_on_the_way_counts_for_the_age_at_the_worker(self):
+        async with ordered_worker() as ordered:
+            ordered.age_s = 0.4
+            ordered.start(order(ordered.worker.report()))
+            (held,) = ordered.worker.supervisor.runs.values()
+            await asyncio.sleep(0)
+            age_s = ordered.worker.supervisor.now() - held.ordered_at
+            assert age_s == pytest.approx(0.4)
+
+
 class TestReplacedExecutor:
     """Guards against starts at an executor that the front did not choose."""
 
--- a/src/limpetlanding/runs/tracked_run.py
+++ b/src/limpetlanding/runs/tracked_run.py
@@ -50,7 +50,8 @@
     estimate_ms : float
         Declared run time in milliseconds; 0 if none was declared.
     ordered_at : float
-        When the order arrived, in seconds on the clock of the supervisor.
+        When the front sent the order, in seconds on the clock of the
+        supervisor.
     """
 
     owner: str
--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -204,6 +204,7 @@
 
     def _start(self, channel: Channel, message: StartRuns) -> RunsAccepted:
         owner = channel.peer.incarnation
+        age_s = channel.transit_s(message.sent_ms)
         reason = ''
         taken = []
         for order in message.orders:
@@ -216,7 +217,7 @@
             refusal = (
                 'stopped before'
                 if is_blocked
-                else self._refusal(message, order)
+                else self._refusal(message, order, age_s)
             )
             if refusal:
                 reason = refusal
@@ -226,7 +227,9 @@
                     message.job_id, message.is_trial, self.loop.time()
                 )
                 self.supervisor.start(
-                    _tracked_run(owner, message, order, self.supervisor.now())
+                    _tracked_run(
+                        owner, message, order, self.supervisor.now() - age_s
+                    )
                 )
         if reason:
             logger.bind(
@@ -235,6 +238,7 @@
                 taken=len(taken),
                 refused=len(message.orders) - len(taken),
                 free_cpu=self.supervisor.free.cpu,
+                age_ms=round(1000 * age_s),
             ).info('runs refused: {}', reason)
         return RunsAccepted(taken, reason, self.report())
 
@@ -244,7 +248,13 @@
             return held.owner == owner
         return (owner, run_key(order.task, order.run)) in self.ended_runs
 
-    def _refusal(self, message: StartRuns, order: RunOrder) -> str:
+    def _refusal(
+        self, message: StartRuns, order: RunOrder, age_s: float
+    ) -> str:
+        if 1000 * age_s > message.deadline_ms:
+            # The front has given the order up. Its stop may still be on its
+            # way, and the client may have sent the job to another front.
+            return 'the order arrived too late'
         executor = self.supervisor.executor
         if executor is not None:
             if message.executor not in {'', executor.incarnation}:
--- a/src/limpetlanding/wire/channel.py
+++ b/src/limpetlanding/wire/channel.py
@@ -30,6 +30,7 @@
     Heartbeat,
     Hello,
 )
+from limpetlanding.wire.transit import TransitClock
 
 # Shortest time between two logged failures of one message type. Formatting a
 # traceback takes 2 ms, so many failures at once could use up the processor.
@@ -88,6 +89,8 @@
         Request numbers. All channels of the node share this iterator, so that
         a number is never used twice for the same incarnation of a peer, even
         if a second channel to it is created.
+    clock : callable
+        Returns seconds of a clock that runs on while the process is suspended.
     """
 
     def __init__(
@@ -98,6 +101,7 @@
         counters: Counters,
         suspect_s: float,
         request_numbers: Iterator[int],
+        clock: Callable[[], float],
     ) -> None:
         self.peer = peer
         self.own = own
@@ -127,7 +131,9 @@
         self.served_requests: dict[int, _ServedRequest] = {}
         self.notification_tasks: set[asyncio.Task[None]] = set()
         self.request_numbers = request_numbers
+        self.clock = clock
         self.last_logged_at: dict[str, float] = {}
+        self.transit = TransitClock()
 
     def __repr__(self) -> str:
         return f'<Channel {self.peer.node} {self.peer.incarnation}>'
@@ -154,7 +160,8 @@
 
         If the link is lost before the reply arrives, the request is sent again
         on another link. If the message has a field ``deadline_ms``, a request
-        that is sent late or again carries the time that is left by then.
+        that is sent late or again carries the time that is left by then; a
+        field ``sent_ms`` receives the time of each sending.
 
         Parameters
         ----------
@@ -258,6 +265,20 @@
         else:
             self._receive_notification(frame)
 
+    def transit_s(self, sent_ms: int) -> float:
+        """Return how long a message of the peer was on its way, in seconds.
+
+        It is 0 if the peer has not stated when it sent the message.
+
+        Parameters
+        ----------
+        sent_ms : int
+            Time of the sending, in milliseconds on the clock of the peer.
+        """
+        if not sent_ms:
+            return 0
+        return self.transit.transit_s(sent_ms / 1000, self.clock())
+
     def end_slowdown(self) -> None:
         """Return to the usual heartbeats on all links."""
         for link in self.links:
@@ -283,8 +304,10 @@
         if not pending.is_wanted():
             self._withdraw(pending)
             return
-        message = _with_time_left(
-            pending.message, self.loop.time() - pending.created_at
+        message = _with_times(
+            pending.message,
+            self.loop.time() - pending.created_at,
+            self.clock(),
         )
         self.end_slowdown()
         for link in reversed(self.links):
@@ -312,6 +335,8 @@
                 self._transmit(number, pending)
 
     def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
+        if heartbeat.sent_ms:
+            self.transit.record(heartbeat.sent_ms / 1000, self.clock())
         if self.on_heartbeat is None:
             return
         try:
@@ -439,11 +464,13 @@
         )
 
 
-def _with_time_left(message: Any, elapsed_s: float) -> Any:
+def _with_times(message: Any, elapsed_s: float, now: float) -> Any:
     elapsed_ms = elapsed_s * 1000
-    # With a writable link, the first transmission follows within 1 ms and is
-    # sent unchanged.
-    if elapsed_ms < 1 or not hasattr(message, 'deadline_ms'):
-        return message
-    left_ms = max(0, message.deadline_ms - elapsed_ms)
-    return replace(message, deadline_ms=left_ms)
+    changes: dict[str, float] = {}
+    # With a writable link, the first transmission follows within 1 ms and
+    # keeps its deadline.
+    if elapsed_ms >= 1 and hasattr(message, 'deadline_ms'):
+        changes['deadline_ms'] = max(0, message.deadline_ms - elapsed_ms)
+    if hasattr(message, 'sent_ms'):
+        changes['sent_ms'] = round(1000 * now)
+    return replace(message, **changes) if changes else message
--- a/src/limpetlanding/wire/codec.py
+++ b/src/limpetlanding/wire/codec.py
@@ -112,7 +112,7 @@
     >>> from limpetlanding.wire.messages import Heartbeat
     >>> frame = encode_frame(FrameKind.NOTIFY, 0, Heartbeat(7))
     >>> decode_body(frame[HEADER_BYTES:]).message
-    Heartbeat(config_digest=7, slowdown=1.0)
+    Heartbeat(config_digest=7, slowdown=1.0, sent_ms=0)
     """
     tag = tag_of(message)
     try:
--- a/src/limpetlanding/wire/link.py
+++ b/src/limpetlanding/wire/link.py
@@ -74,6 +74,7 @@
         self.config_digest = config_digest
         self.loop = asyncio.get_running_loop()
         self.suspensions = suspensions
+        self.clock = suspensions.clock
         self.suspensions_seen = suspensions.check()
         # Whether the link may have slow heartbeats, and whether it is idle now.
         self.supports_slowdown = False
@@ -398,7 +399,13 @@
                 self.timing.idle_slowdown if may_slow_down else 1
             )
             self.send(
-                FrameKind.NOTIFY, 0, Heartbeat(digest, float(self.own_slowdown))
+                FrameKind.NOTIFY,
+                0,
+                Heartbeat(
+                    digest,
+                    float(self.own_slowdown),
+                    round(1000 * self.clock()),
+                ),
             )
             self._flush()
 
--- a/src/limpetlanding/wire/messages.py
+++ b/src/limpetlanding/wire/messages.py
@@ -64,11 +64,13 @@
 
     ``config_digest`` is the digest of the sender's configuration. ``slowdown``
     is the multiple of the usual interval after which the next frame of the
-    sender follows at the latest.
+    sender follows at the latest. ``sent_ms`` is the time on the clock of the
+    sender; an earlier build leaves it 0.
     """
 
     config_digest: int = 0
     slowdown: float = 1.0
+    sent_ms: int = 0
 
 
 @message('bye')
--- a/src/limpetlanding/wire/node.py
+++ b/src/limpetlanding/wire/node.py
@@ -269,6 +269,7 @@
             self.counters,
             self.options.timing.suspect_s,
             self.request_numbers,
+            self.clock,
         )
         channel.stopping = self.stopping
         channel.on_heartbeat = lambda *args: self.on_heartbeat(*args)
--- a/src/limpetlanding/wire/run_messages.py
+++ b/src/limpetlanding/wire/run_messages.py
@@ -4,6 +4,7 @@
 """
 
 from dataclasses import dataclass, field
+from math import inf
 
 from limpetlanding.wire.messages import message
 
@@ -68,7 +69,9 @@
     started shortly before or after them, so that a crash shows its cause.
     ``executor`` and ``revision`` are those of the report by which the front
     chose the worker; the order is rejected if they have changed. An earlier
-    build leaves them empty.
+    build leaves them empty. ``deadline_ms`` is the time for which the front
+    waits for the reply, and ``sent_ms`` the time of the sending on its clock;
+    the order is rejected if it was on its way for longer.
     """
 
     job_id: str
@@ -78,6 +81,8 @@
     is_trial: bool = False
     executor: str = ''
     revision: int = 0
+    deadline_ms: float = inf
+    sent_ms: int = 0
 
 
 @message('taken')
--- a/src/limpetlanding/wire/tests/faulty_network.py
+++ b/src/limpetlanding/wire/tests/faulty_network.py
@@ -20,6 +20,8 @@
 
     def __init__(self):
         self.drops_data = False
+        # Time in seconds for which each segment is held up.
+        self.delay_s = 0
         self.flowing = asyncio.Event()
         self.flowing.set()
         self.byte_count = 0
@@ -38,6 +40,8 @@
     async def _read(self, reader):
         await self.flowing.wait()
         chunk = await reader.read(READ_BYTES)
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
         await self.flowing.wait()
         return chunk
 
