--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -205,6 +205,10 @@
     def _start(self, channel: Channel, message: StartRuns) -> RunsAccepted:
         owner = channel.peer.incarnation
         age_s = channel.transit_s(message.sent_ms)
+        # The front has given a late order up. Its stop may still be on its way,
+        # and the client may have sent the job to another front.
+        is_late = 1000 * age_s > message.deadline_ms
+        late = 'the order arrived too late' if is_late else ''
         reason = ''
         taken = []
         for order in message.orders:
@@ -217,7 +221,7 @@
             refusal = (
                 'stopped before'
                 if is_blocked
-                else self._refusal(message, order, age_s)
+                else late or self._refusal(message, order)
             )
             if refusal:
                 reason = refusal
@@ -248,13 +252,7 @@
             return held.owner == owner
         return (owner, run_key(order.task, order.run)) in self.ended_runs
 
-    def _refusal(
-        self, message: StartRuns, order: RunOrder, age_s: float
-    ) -> str:
-        if 1000 * age_s > message.deadline_ms:
-            # The front has given the order up. Its stop may still be on its
-            # way, and the client may have sent the job to another front.
-            return 'the order arrived too late'
+    def _refusal(self, message: StartRuns, order: RunOrder) -> str:
         executor = self.supervisor.executor
         if executor is not None:
             if message.executor not in {'', executor.incarnation}:
