Refuse a copy of an order whose run was refused before

A front orders a task over a link that carries nothing for 0.6 s, drops the link and repeats the order over another. The worker refuses it for want of room, the front gives the task to another worker, and then the first copy arrives. The worker, which has room by now, started it.

Cause: the worker remembered runs that had ended and runs that were stopped before their order came, but not those it had refused. A copy of such an order was decided anew, although its front had acted on the first answer.

RunRegistry takes the place of `blocked_starts`, `ended_runs` and their constants, and also has the refused runs. A copy of an order whose run has ended is answered as taken, as before; one that was refused or stopped before is refused again, whatever the room is. A front that repeats an order after a lost answer loses nothing but the chance that the answer changes: its task waits again and is ordered as a run with a new number.

A job that was submitted again at the same front after 30 s is numbered from 1 again; its order was answered as taken, its run never started, and the client received 504.

--- a/src/limpetlanding/runs/worker.py
+++ b/src/limpetlanding/runs/worker.py
@@ -21,6 +21,7 @@
     Executor,
     ExecutorPort,
 )
+from limpetlanding.runs.registry import RunFate, RunRegistry
 from limpetlanding.runs.seed_links import SeedLinks
 from limpetlanding.runs.supervisor import RunSupervisor
 from limpetlanding.runs.tracked_run import RunResult, TrackedRun
@@ -55,14 +56,6 @@
 """Time for a front to confirm the ends of runs. A front that has not answered
 by then has dropped the runs."""
 
-MAX_REMEMBERED_ENDS = 2000
-"""Number of ended runs whose repeated orders are recognized; it covers the ends
-of some seconds."""
-
-BLOCKED_START_RETENTION_S = 10
-"""How long the start of a run stays blocked that was stopped before its order
-arrived. Frames of a lost link arrive within a second or not at all."""
-
 
 class UnknownPool(LimpetlandingError):
     """An executor has announced itself for a pool that does not exist."""
@@ -96,9 +89,7 @@
         self.supervisor.owners_heard_at = self._owners_heard_at
         self.catalogs = CatalogHolder(self._broadcast_catalog)
         self.queued_outcomes: dict[str, list[RunOutcome]] = defaultdict(list)
-        # By owner and key of the run.
-        self.blocked_starts: dict[tuple[str, str], float] = {}
-        self.ended_runs: dict[tuple[str, str], None] = {}
+        self.registry = RunRegistry()
         self.report_scheduled = False
         self.report_timer: asyncio.TimerHandle | None = None
         self.reported_at = -inf
@@ -212,14 +203,11 @@
                 taken.append(order.task)
                 continue
             key = run_key(order.task, order.run)
-            is_blocked = (owner, key) in self.blocked_starts
-            refusal = (
-                'stopped before'
-                if is_blocked
-                else self._refusal(message, order)
-            )
+            fate = self.registry.fate(owner, key, self.loop.time())
+            refusal = fate or self._refusal(message, order)
             if refusal:
                 reason = refusal
+                self._record_fate(owner, key, fate or RunFate.REFUSED)
             else:
                 taken.append(order.task)
                 self.starts.record(
@@ -242,7 +230,12 @@
         held = self.supervisor.runs.get((order.task, order.run))
         if held is not None:
             return held.owner == owner
-        return (owner, run_key(order.task, order.run)) in self.ended_runs
+        key = run_key(order.task, order.run)
+        fate = self.registry.fate(owner, key, self.loop.time())
+        return fate is RunFate.ENDED
+
+    def _record_fate(self, owner: str, key: str, fate: RunFate) -> None:
+        self.registry.record(owner, key, fate, self.loop.time())
 
     def _refusal(self, message: StartRuns, order: RunOrder) -> str:
         executor = self.supervisor.executor
@@ -293,22 +286,14 @@
 
     def _report_missing(self, channel: Channel, keys: list[str]) -> None:
         """Report runs that are not here as ended, and block their starts."""
-        now = self.loop.time()
-        self.blocked_starts = {
-            key: until
-            for key, until in self.blocked_starts.items()
-            if until > now
-        }
         owner = channel.peer.incarnation
-        for key in keys:
-            self.blocked_starts[owner, key] = now + BLOCKED_START_RETENTION_S
         # Outcomes that were sent earlier arrive first, on the same channel, and
         # the front ignores a second outcome of a run.
         for key in keys:
+            self._record_fate(owner, key, RunFate.STOPPED)
             task, _, run = key.rpartition('/')
             self._queue_outcome(
-                channel.peer.incarnation,
-                RunOutcome(task, int(run), RunEnd.LAPSED),
+                owner, RunOutcome(task, int(run), RunEnd.LAPSED)
             )
 
     def _executor_lost(self, loss: ExecutorLoss) -> None:
@@ -320,11 +305,11 @@
 
     def _run_ended(self, result: RunResult) -> None:
         held = result.held
-        self.ended_runs[(held.owner, run_key(held.task, held.run))] = None
+        self._record_fate(
+            held.owner, run_key(held.task, held.run), RunFate.ENDED
+        )
         self.counts[result.how.value] += 1
         self.on_run({}, result.run_ms / 1000)
-        while len(self.ended_runs) > MAX_REMEMBERED_ENDS:
-            self.ended_runs.pop(next(iter(self.ended_runs)))
         logger.bind(
             request_id=held.job_id,
             task=held.task,
