Don't count a run as crashed that its restarted executor lists as ended

Cause: an executor may restart under the id that it had, and carry out a start that was meant for its earlier life. Its worker learns of the restart from a list of runs, often the one that is answered because the run has ended. RunSupervisor._follow_restart kept the runs that the list shows as active, and counted those that it shows as ended as victims of the crash. The task was started again, and after two such restarts shortly after its starts the front gave the job up.

A run that the list shows as ended is now kept as well. The next answer, to a call that acknowledges nothing of the new life, lists the end again, and the run ends as done. Runs that are in neither list still count as crashed.

--- a/src/limpetlanding/platform/tests/test_overlapping_runs.py
+++ b/src/limpetlanding/platform/tests/test_overlapping_runs.py
@@ -12,6 +12,7 @@
 
 JOB = '5c0e7a21d94b36f8'
 WORK_S = 0.8
+SHORT_WORK_S = 0.1
 START_S = 0.1
 WAIT_MS = 6000
 SLOW_WORK_S = 3
@@ -75,6 +76,21 @@
             await system.settle(1)
             assert not overlapping_runs(system.history())
 
+    async def test_run_that_has_ended_there_is_not_started_again(self):
+        # Guards also against a loss that counts against the task.
+        async with FaultySystem().run() as system:
+            use_long_runs(system, SHORT_WORK_S)
+            # The ends of the new lives are numbered from 1 again.
+            assert await submit(system) == (OK, {'state': 'completed'})
+            await asyncio.sleep(0.5)
+            for number in range(system.worker_count):
+                system.unheard.add(number)
+                system.restart_at_once(number)
+            assert await submit(system) == (OK, {'state': 'completed'})
+            await system.settle(1)
+            assert [run.how for run in system.history()] == ['done'] * 2
+            assert not any(x.loss_counts for x in system.workers)
+
 
 class TestRefusedConnections:
     """Guards against a refusing path that counts as a crash."""
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -337,12 +337,14 @@
     def _follow_restart(self, inventory: Inventory) -> None:
         """Follow an executor that has restarted under the same id.
 
-        Runs that it lists were started after the restart. A start without an
-        answer may have reached it, and is stopped. All runs are stopped if it
-        has another pool or other labels, perhaps only once it announces them.
+        Runs that it lists were started after the restart; those that it lists
+        as ended are finished by its next answer. A start without an answer may
+        have reached it, and is stopped. All runs are stopped if it has another
+        pool or other labels, perhaps only once it announces them.
         """
         known = self.executor
-        listed = {(run.task, run.run) for run in inventory.active}
+        known_there = [*inventory.active, *inventory.ended]
+        listed = {(run.task, run.run) for run in known_there}
         held_runs = list(self.runs.values())
         ended = [x for x in held_runs if x.started and x.key not in listed]
         logger.bind(
--- a/src/limpetlanding/runs/tests/test_supervisor.py
+++ b/src/limpetlanding/runs/tests/test_supervisor.py
@@ -6,9 +6,10 @@
 
 import pytest
 
-from limpetlanding.runs.model import Resources
+from limpetlanding.runs.model import Resources, RunEnd
 from limpetlanding.runs.ports import (
     ActiveRun,
+    EndedRun,
     Executor,
     ExecutorReplaced,
     ExecutorUnavailable,
@@ -253,6 +254,23 @@
             assert not port.stops
             assert not ends
 
+    async def test_run_that_ended_there_counts_as_done_not_as_crashed(self):
+        async with supervised() as (supervisor, port, ends):
+            losses = []
+            supervisor.losses.on_loss = losses.append
+            answer = await next_inventory(supervisor, port)
+            held = tracked_run()
+            supervisor.start(held)
+            await asyncio.sleep(0.01)
+            ended = [EndedRun(1, *held.key, RunEnd.DONE)]
+            shown = Inventory(CLOCK_MS, START_TIME_MS + 1, [], ended)
+            answer.set_result(shown)
+            await asyncio.sleep(0.01)
+            port.inventories.pop().set_result(shown)
+            await asyncio.sleep(0.01)
+            assert [end.how for end in ends] == [RunEnd.DONE]
+            assert not losses
+
     async def test_run_goes_on_if_its_executor_announces_others(self):
         # The run has been started while they were announced.
         async with supervised() as (supervisor, port, ends):
