Keep cancelled and ended jobs of a front in its JobRegistry

The dispatcher had a set, a dictionary and a timer for each entry. The registry takes their place; its entries have an age, which other fronts will be told, and a maximum number. abandon_all, resubmissions and the refusal by a stopping front ask the registry.

--- a/src/limpetlanding/platform/ingress.py
+++ b/src/limpetlanding/platform/ingress.py
@@ -119,8 +119,8 @@
     logger.bind(request_id=job_id, step='submit').info(
         'refused: the front stops'
     )
-    earlier = front.dispatcher.ended_jobs.get(job_id)
-    if earlier is not None and earlier.has_run:
+    dispatcher = front.dispatcher
+    if dispatcher.registry.may_have_run(job_id, dispatcher.now()):
         return _json_response(504, error='the front stops')
     return _service_unavailable('the front stops')
 
--- a/src/limpetlanding/platform/tests/test_restarts.py
+++ b/src/limpetlanding/platform/tests/test_restarts.py
@@ -8,8 +8,8 @@
     body,
     config,
 )
-from limpetlanding.runs.dispatcher import ENDED_JOB_RETENTION_S
 from limpetlanding.runs.model import Catalog
+from limpetlanding.runs.registry import JOB_RETENTION_S
 from limpetlanding.wire.run_messages import WorkerReport
 
 JOB = '5c0e7a21d94b36f8'
@@ -135,8 +135,10 @@
             await asyncio.sleep(20)
             await system.kill('f1')
             await system.start_front(1, incarnation=2)
-            await asyncio.sleep(ENDED_JOB_RETENTION_S + 5)
-            assert not any(x.dispatcher.cancelled for x in system.fronts)
+            await asyncio.sleep(JOB_RETENTION_S + 5)
+            assert not any(
+                x.dispatcher.is_cancelled(JOB) for x in system.fronts
+            )
 
 
 class TestAddresses:
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -36,6 +36,7 @@
     is_hopeless_trial,
     retry_after_s,
 )
+from limpetlanding.runs.registry import JobRegistry
 from limpetlanding.runs.room import LEASE_MS
 from limpetlanding.runs.worker_losses import WorkerLosses
 from limpetlanding.wire import Channel
@@ -80,10 +81,6 @@
 SHORTAGE_MEMORY_S = 1
 """Time after which a task that found no room does not count any more."""
 
-ENDED_JOB_RETENTION_S = 30
-"""How long the run numbers of an ended job, and the ids of cancelled jobs, are
-kept for resubmissions."""
-
 MAX_RESUBMISSION_WAIT_S = 0.45 + 0.3 + LOST_RUNS_TIMEOUT_S + 0.1
 """Longest wait of a resubmission until the runs of the earlier submission have
 ended: the time until a worker is lost, and then until its runs are."""
@@ -138,8 +135,7 @@
         self.loop = asyncio.get_running_loop()
         self.now = clock or self.loop.time
         self.jobs: dict[str, ActiveJob] = {}
-        self.ended_jobs: dict[str, ActiveJob] = {}
-        self.cancelled: set[str] = set()
+        self.registry = JobRegistry()
         # Whether the jobs have been abandoned, because the front stops.
         self.is_stopping = False
         self.losses = LossLedger()
@@ -211,10 +207,10 @@
             have been started; or if runs of an earlier submission go on.
         """
         submitted_at = self.now()
-        if not (job.job_id in self.cancelled or job.job_id in self.jobs):
+        if not (self.is_cancelled(job.job_id) or job.job_id in self.jobs):
             await self._wait_for_earlier(job.job_id, wait_s)
         # It may have been cancelled during the wait.
-        if job.job_id in self.cancelled:
+        if self.is_cancelled(job.job_id):
             return JobState.FAILED
         active = self.jobs.get(job.job_id)
         if active is None:
@@ -223,20 +219,28 @@
             active = self._add_job(job, queue, wait_s, version, submitted_at)
         return await self._answer(active, is_connected, submitted_at + wait_s)
 
-    def cancel(self, job_id: str) -> bool:
+    def is_cancelled(self, job_id: str) -> bool:
+        """Tell whether this front knows that a job has been cancelled."""
+        return self.registry.is_cancelled(job_id, self.now())
+
+    def cancel(self, job_id: str, age_s: float = 0) -> bool:
         """Cancel a job; its waiting clients receive the state ``failed``.
 
         A submission that arrives later receives the same answer.
 
+        Parameters
+        ----------
+        job_id : str
+            The job.
+        age_s : float
+            Time since the client has cancelled it, in seconds.
+
         Returns
         -------
         bool
             Whether the job was active at this front.
         """
-        self.cancelled.add(job_id)
-        self.loop.call_later(
-            ENDED_JOB_RETENTION_S, self.cancelled.discard, job_id
-        )
+        self.registry.record_cancelled(job_id, self.now() - age_s)
         active = self.jobs.get(job_id)
         if active is None:
             return False
@@ -248,7 +252,7 @@
     def abandon_all(self) -> None:
         """Answer all active jobs as unfinished, because the front stops."""
         self.is_stopping = True
-        for earlier in self.ended_jobs.values():
+        for earlier in self.registry.ended.values(self.now()):
             # Ends the waits of resubmissions.
             earlier.no_runs_left.set()
         for active in list(self.jobs.values()):
@@ -393,7 +397,7 @@
         JobAbandoned
             If they have not ended in time.
         """
-        earlier = self.ended_jobs.get(job_id)
+        earlier = self.registry.ended.get(job_id, self.now())
         if earlier is None or not earlier.placed:
             return
         with suppress(TimeoutError):
@@ -424,7 +428,7 @@
             self.loop.create_future(),
             wait_s,
         )
-        earlier = self.ended_jobs.get(job.job_id)
+        earlier = self.registry.ended.get(job.job_id, now)
         if earlier is not None:
             active.runs = earlier.runs
             # The client must not be told that the job has not run.
@@ -479,8 +483,7 @@
         self._record_answer(active, why)
         job_id = active.job.job_id
         self.jobs.pop(job_id, None)
-        self.ended_jobs[job_id] = active
-        self.loop.call_later(ENDED_JOB_RETENTION_S, self._forget_job, active)
+        self.registry.ended.record(job_id, active, self.now())
         active.waiting.clear()
         if not active.outcome.done():
             active.outcome.cancel()
@@ -510,10 +513,6 @@
             workers=sorted(active.workers),
         ).info('job answered: {}', answer)
 
-    def _forget_job(self, active: ActiveJob) -> None:
-        if self.ended_jobs.get(active.job.job_id) is active:
-            self.ended_jobs.pop(active.job.job_id)
-
     def _place_waiting(self) -> None:
         now = self.now()
         jobs = [
--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -166,7 +166,7 @@
         return self._cancel(job_id, 'client')
 
     def _cancel(self, job_id: str, source: str) -> bool:
-        is_known = job_id in self.dispatcher.cancelled
+        is_known = self.dispatcher.is_cancelled(job_id)
         is_here = self.dispatcher.cancel(job_id)
         logger.bind(
             request_id=job_id, step='cancel', peer=source, here=is_here
@@ -196,7 +196,7 @@
     ) -> None:
         job_id = message.job_id
         dispatcher = self.dispatcher
-        if job_id in dispatcher.jobs or job_id not in dispatcher.cancelled:
+        if job_id in dispatcher.jobs or not dispatcher.is_cancelled(job_id):
             self._cancel(job_id, channel.peer.node)
 
     def _handle_loss(self, channel: Channel, message: ExecutorLost) -> None:
@@ -300,7 +300,8 @@
                 _known_workers(list(self.subset.candidates.values()))
             )
             # The peer may have started after these cancellations.
-            for job_id in sorted(self.dispatcher.cancelled):
+            dispatcher = self.dispatcher
+            for job_id in dispatcher.registry.cancelled.keys(dispatcher.now()):
                 channel.notify(JobCancelled(job_id))
             return
         channel.has_work = lambda: self.dispatcher.has_runs_at(channel)
--- a/src/limpetlanding/runs/registry.py
+++ b/src/limpetlanding/runs/registry.py
@@ -77,6 +77,10 @@
         """Return the keys, those recorded first at the beginning."""
         return [key for key in self.entries if self.get(key, now) is not None]
 
+    def values(self, now: float) -> list[Value]:
+        """Return the values, in the order of `keys`."""
+        return [self.entries[key][1] for key in self.keys(now)]
+
     def _oldest_is_outdated(self, now: float) -> bool:
         recorded_at, _ = next(iter(self.entries.values()))
         is_surplus = len(self.entries) > self.max_count
@@ -122,6 +126,7 @@
 
     def __init__(self) -> None:
         self.ended: RecentEntries[str, ActiveJob] = _recent_jobs()
+        # Whether all fronts in touch have confirmed that they know of it.
         self.cancelled: RecentEntries[str, bool] = _recent_jobs()
         self.run_elsewhere: RecentEntries[str, bool] = _recent_jobs()
 
@@ -129,6 +134,23 @@
         """Tell whether a client has cancelled the job."""
         return self.cancelled.get(job_id, now) is not None
 
+    def record_cancelled(self, job_id: str, cancelled_at: float) -> None:
+        """Record that a client has cancelled the job; not yet confirmed."""
+        self.cancelled.record(job_id, False, cancelled_at)
+
+    def confirm_cancelled(self, job_id: str) -> None:
+        """Record that all fronts in touch know that the job is cancelled."""
+        if job_id in self.cancelled.entries:
+            cancelled_at, _ = self.cancelled.entries[job_id]
+            self.cancelled.entries[job_id] = cancelled_at, True
+
+    def cancelled_ages(self, now: float) -> dict[str, float]:
+        """Return the cancelled jobs with the seconds since then."""
+        return {
+            job_id: now - self.cancelled.entries[job_id][0]
+            for job_id in self.cancelled.keys(now)
+        }
+
     def may_have_run(self, job_id: str, now: float) -> bool:
         """Tell whether a task of the job may have been started before."""
         earlier = self.ended.get(job_id, now)
--- a/src/limpetlanding/runs/tests/test_registry.py
+++ b/src/limpetlanding/runs/tests/test_registry.py
@@ -1,15 +1,21 @@
 """Tests of what a process remembers of jobs and runs."""
 
+from types import SimpleNamespace
+
 import pytest
 
 from limpetlanding.runs.registry import (
+    JOB_RETENTION_S,
+    MAX_REMEMBERED_JOBS,
     RUN_RETENTION_S,
+    JobRegistry,
     RecentEntries,
     RunFate,
     RunRegistry,
 )
 
 OWNER = 'front-1/17'
+JOB = '5c0e7a21d94b36f8'
 KEY = '5c0e7a21d94b36f8.0.0.1/1'
 
 
@@ -58,3 +64,61 @@
         registry.record(OWNER, KEY, RunFate.ENDED, now=100)
         registry.record(OWNER, KEY, RunFate.STOPPED, now=101)
         assert registry.fate(OWNER, KEY, now=101) is RunFate.ENDED
+
+
+class TestJobRegistry:
+    """Guards against a job that starts again after its end or cancellation."""
+
+    def test_cancelled_job_is_known_until_no_submission_can_arrive(self):
+        registry = JobRegistry()
+        registry.record_cancelled(JOB, 100)
+        assert registry.is_cancelled(JOB, now=100 + JOB_RETENTION_S)
+        assert not registry.is_cancelled(JOB, now=101 + JOB_RETENTION_S)
+
+    def test_unknown_job_is_neither_cancelled_nor_has_it_run(self):
+        registry = JobRegistry()
+        assert not registry.is_cancelled(JOB, now=0)
+        assert not registry.may_have_run(JOB, now=0)
+
+    def test_confirmation_does_not_extend_the_retention(self):
+        registry = JobRegistry()
+        registry.record_cancelled(JOB, 100)
+        registry.confirm_cancelled(JOB)
+        assert registry.cancelled.get(JOB, now=100) is True
+        assert not registry.is_cancelled(JOB, now=101 + JOB_RETENTION_S)
+
+    def test_second_cancellation_has_to_be_confirmed_again(self):
+        registry = JobRegistry()
+        registry.record_cancelled(JOB, 100)
+        registry.confirm_cancelled(JOB)
+        registry.record_cancelled(JOB, 200)
+        assert registry.cancelled.get(JOB, now=200) is False
+
+    def test_late_confirmation_does_not_record_a_job(self):
+        registry = JobRegistry()
+        registry.confirm_cancelled(JOB)
+        assert not registry.is_cancelled(JOB, now=0)
+
+    def test_cancelled_jobs_are_passed_on_with_their_ages(self):
+        registry = JobRegistry()
+        registry.record_cancelled('old', 100)
+        registry.record_cancelled('new', 100 + JOB_RETENTION_S)
+        assert registry.cancelled_ages(now=101 + JOB_RETENTION_S) == {'new': 1}
+
+    @pytest.mark.parametrize('has_run', [True, False])
+    def test_ended_job_may_have_run_if_a_task_was_started(self, has_run):
+        registry = JobRegistry()
+        registry.ended.record(JOB, SimpleNamespace(has_run=has_run), now=100)
+        assert registry.may_have_run(JOB, now=101) is has_run
+        assert not registry.may_have_run(JOB, now=101 + JOB_RETENTION_S)
+
+    def test_job_that_ran_at_another_front_may_have_run(self):
+        registry = JobRegistry()
+        registry.run_elsewhere.record(JOB, True, now=100)
+        assert registry.may_have_run(JOB, now=101)
+
+    def test_cancelled_jobs_are_bounded(self):
+        registry = JobRegistry()
+        for number in range(MAX_REMEMBERED_JOBS + 10):
+            registry.record_cancelled(f'{number:016x}', 100)
+        assert len(registry.cancelled.entries) == MAX_REMEMBERED_JOBS
