Tell other fronts of jobs that a client has left

What callers saw: a client whose answer was lost sends its job again to another front. That front didn't know of the runs at the first one. It answered 503, not run, although tasks had run, and it started a task beside a run that was still being stopped.

Cause: what a front knows of a job, that it has run and whether runs are left, stayed in its memory.

Fix: a front tells the others of a job that ends because its client has left or was told 504, and again when its runs have ended (JobLeft, runs/left_jobs.py). Orders ask once more before they are sent. The messages are limited to 60 a second, since each front passes them on. A front of an earlier build receives none.

A connection that is cut without a close stays open.

--- a/src/limpetlanding/platform/tests/test_lost_answers.py
+++ b/src/limpetlanding/platform/tests/test_lost_answers.py
@@ -86,10 +86,6 @@
             assert (await system.submit(JOB, body(2), 9000, front=1))[0] == 200
             assert not overlapping_runs(system.history())
 
-    @pytest.mark.xfail(
-        strict=True,
-        reason='KNOWN-RED: a front does not learn of runs at another front',
-    )
     async def test_job_that_ran_at_another_front_is_not_refused_as_not_run(
         self,
     ):
@@ -99,6 +95,14 @@
             await leave_all(system)
             assert (await system.submit(JOB, body(2), 900, front=1))[0] == 504
 
+    async def test_job_that_ran_two_links_away_is_not_refused_as_not_run(self):
+        # Guards against a wrong refusal if fronts are not all linked.
+        async with System(front_count=3).run() as system:
+            slow(system, 5)
+            await lose_answer(system, front=1)
+            await leave_all(system)
+            assert (await system.submit(JOB, body(2), 900, front=2))[0] == 504
+
     @pytest.mark.xfail(
         strict=True,
         reason='KNOWN-RED: only a closed connection shows that a client left',
@@ -113,10 +117,6 @@
             await first
             assert not overlapping_runs(system.history())
 
-    @pytest.mark.xfail(
-        strict=True,
-        reason='KNOWN-RED: a client may return before its runs are stopped',
-    )
     async def test_runs_do_not_overlap_if_the_job_is_sent_again_at_once(self):
         async with System(front_count=2).run() as system:
             slow(system, 2)
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -36,8 +36,11 @@
     is_hopeless_trial,
     retry_after_s,
 )
-from limpetlanding.runs.registry import JobRegistry
-from limpetlanding.runs.room import LEASE_MS
+from limpetlanding.runs.registry import (
+    LOST_RUNS_TIMEOUT_S,
+    MAX_RESUBMISSION_WAIT_S,
+    JobRegistry,
+)
 from limpetlanding.runs.worker_losses import WorkerLosses
 from limpetlanding.wire import Channel
 from limpetlanding.wire.run_messages import (
@@ -65,12 +68,6 @@
 """A stop is repeated over new links for this long. After that the worker has
 stopped the runs on its own, because it has lost this front."""
 
-LOST_RUNS_TIMEOUT_S = 0.45 + 0.3 + LEASE_MS / 980 + 0.1
-"""Time without any link after which no run of this front is left at a worker.
-The worker detects the silent link, drops the front and stops its runs; if the
-worker is suspended at that moment, the lease at its executor expires, whose
-clock may be 2% slow."""
-
 MIN_PASS_PAUSE_S = 0.002
 """Pause between two passes over the waiting jobs; a job that arrives meanwhile
 waits for its end."""
@@ -81,9 +78,8 @@
 SHORTAGE_MEMORY_S = 1
 """Time after which a task that found no room does not count any more."""
 
-MAX_RESUBMISSION_WAIT_S = 0.45 + 0.3 + LOST_RUNS_TIMEOUT_S + 0.1
-"""Longest wait of a resubmission until the runs of the earlier submission have
-ended: the time until a worker is lost, and then until its runs are."""
+ANSWERS_BEFORE_RESUBMISSION = frozenset(('client gone', 'given up'))
+"""Ends of a job that has run after which its client may send it again."""
 
 
 class JobNotStarted(LimpetlandingError):
@@ -150,6 +146,8 @@
         # Called with the seconds from the submission to the answer and to the
         # first order, if there was one.
         self.on_answer: Callable[[float, float | None], None] = _ignore_answer
+        # Called with a job that has run, and that a client may send again.
+        self.on_left: Callable[[ActiveJob], None] = _ignore_left
 
     async def run(self) -> None:
         """Assign waiting tasks whenever something has changed."""
@@ -431,8 +429,8 @@
         earlier = self.registry.ended.get(job.job_id, now)
         if earlier is not None:
             active.runs = earlier.runs
-            # The client must not be told that the job has not run.
-            active.may_have_run = earlier.has_run
+        # The client must not be told that the job has not run.
+        active.may_have_run = self.registry.may_have_run(job.job_id, now)
         self.jobs[job.job_id] = active
         logger.bind(
             request_id=job.job_id,
@@ -491,6 +489,8 @@
             keys = [x.key for x in active.placed.values() if x.key in view.runs]
             if keys:
                 self.background.spawn(self._stop_runs(view, keys, why))
+        if active.has_run and why in ANSWERS_BEFORE_RESUBMISSION:
+            self.on_left(active)
 
     def _record_answer(self, active: ActiveJob, answer: str) -> None:
         now = self.now()
@@ -545,6 +545,8 @@
         ):
             self._refuse(active)
             return
+        if self.registry.runs_elsewhere(active.job.job_id, now):
+            return
         try:
             chosen, left = pool.assign(active, now, is_trial)
         except Exception as error:
@@ -620,7 +622,7 @@
             self._record_order(active, view, tasks, is_trial)
         try:
             reply = await view.channel.request(
-                message, ORDER_TIMEOUT_S, lambda: self._is_wanted(active)
+                message, ORDER_TIMEOUT_S, lambda: self._may_start(active)
             )
         except RequestWithdrawn as error:
             self._handle_withdrawn_order(active, view, keys, error)
@@ -686,8 +688,14 @@
         else:
             self._end_job(active, 'client gone')
 
-    def _is_wanted(self, active: ActiveJob) -> bool:
+    def _may_start(self, active: ActiveJob) -> bool:
         """Tell whether tasks of a job may be started now."""
+        return self._is_wanted(active) and not self.registry.runs_elsewhere(
+            active.job.job_id, self.now()
+        )
+
+    def _is_wanted(self, active: ActiveJob) -> bool:
+        """Tell whether a job is undecided and its clients wait for it."""
         return (
             not active.outcome.done()
             and self.now() <= active.waits_until
@@ -874,6 +882,10 @@
     """Do nothing; used until the metrics are set up."""
 
 
+def _ignore_left(_active: ActiveJob) -> None:
+    """Do nothing; used until a callback is set."""
+
+
 def _run_end(how: str) -> RunEnd:
     try:
         return RunEnd(how)
--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -16,6 +16,7 @@
 from limpetlanding.runs.dispatcher import Dispatcher
 from limpetlanding.runs.fleet import Fleet
 from limpetlanding.runs.jobs import objective_s
+from limpetlanding.runs.left_jobs import LeftJobs
 from limpetlanding.runs.loss_reports import (
     received_loss,
     send_known_losses,
@@ -30,6 +31,7 @@
     CatalogUpdate,
     ExecutorLost,
     JobCancelled,
+    JobLeft,
     KnownWorkers,
     RunsEnded,
     WorkerReport,
@@ -73,6 +75,7 @@
         self.fleet = Fleet(node.hello.failure_domain, rng)
         self.dispatcher = Dispatcher(self.fleet, rng, node.clock)
         self.dispatcher.on_loss = self._share_loss
+        self.left_jobs = LeftJobs(node, self.dispatcher)
         self.subset = WorkerSubset(node.hello.node, node.hello.failure_domain)
         self.subset_outdated = asyncio.Event()
         # Address of each worker according to its record.
@@ -87,6 +90,7 @@
             KnownWorkers: self._handle_known_workers,
             JobCancelled: self._handle_job_cancelled,
             ExecutorLost: self._handle_loss,
+            JobLeft: self.left_jobs.handle,
         }
         node.handler = self.handle
         node.on_peer_up = self._peer_up
--- /dev/null
+++ b/src/limpetlanding/runs/left_jobs.py
@@ -0,0 +1,99 @@
+"""Tells other fronts of jobs that a client has left, or that were given up.
+
+The client may send such a job again to any front, and some clients do so at
+once. A front that knows of the runs doesn't start the job beside them, and
+doesn't answer that it has not run.
+"""
+
+import asyncio
+from contextlib import suppress
+from itertools import count
+
+from limpetlanding.runs.background import BackgroundTasks
+from limpetlanding.runs.dispatcher import Dispatcher
+from limpetlanding.runs.jobs import ActiveJob
+from limpetlanding.runs.rate_limit import RateLimit
+from limpetlanding.runs.registry import MAX_RESUBMISSION_WAIT_S
+from limpetlanding.wire import Channel, Node
+from limpetlanding.wire.run_messages import JobLeft
+
+MAX_NOTICES_PER_S = 60
+MAX_NOTICES_AT_ONCE = 300
+"""Limits on the messages that a front sends, those that it passes on included.
+A message costs about 0.07 ms of processor time. Beyond the limits other fronts
+start and refuse jobs as if the client came for the first time."""
+
+
+class LeftJobs:
+    """Jobs that clients have left at this front or another.
+
+    Parameters
+    ----------
+    node : Node
+        Links to the other fronts.
+    dispatcher : Dispatcher
+        Jobs of this front, and its registry.
+    """
+
+    def __init__(self, node: Node, dispatcher: Dispatcher) -> None:
+        self.node = node
+        self.dispatcher = dispatcher
+        self.numbers = count(1)
+        self.limit = RateLimit(MAX_NOTICES_PER_S, MAX_NOTICES_AT_ONCE)
+        self.background = BackgroundTasks()
+        dispatcher.on_left = self.share
+
+    def share(self, active: ActiveJob) -> None:
+        """Tell the other fronts that a job has run and may still do so."""
+        self._send_own(active)
+        if active.placed:
+            self.background.spawn(self._share_end(active))
+
+    def handle(self, channel: Channel, message: JobLeft) -> None:
+        """Record what another front tells, and pass it on if it is new."""
+        dispatcher = self.dispatcher
+        is_own = message.front == self.node.hello.incarnation
+        if is_own or not dispatcher.registry.record_run_elsewhere(
+            message.job_id,
+            message.front,
+            (message.number, message.has_runs),
+            dispatcher.now(),
+        ):
+            return
+        active = dispatcher.jobs.get(message.job_id)
+        if active is not None:
+            active.may_have_run = True
+        dispatcher.placement_needed.set()
+        dispatcher.loop.call_later(
+            MAX_RESUBMISSION_WAIT_S, dispatcher.placement_needed.set
+        )
+        # Not all fronts are linked with each other.
+        self._send(message, channel)
+
+    async def _share_end(self, active: ActiveJob) -> None:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(MAX_RESUBMISSION_WAIT_S):
+                await active.no_runs_left.wait()
+            self._send_own(active)
+
+    def _send_own(self, active: ActiveJob) -> None:
+        self._send(
+            JobLeft(
+                active.job.job_id,
+                self.node.hello.incarnation,
+                next(self.numbers),
+                bool(active.placed),
+            )
+        )
+
+    def _send(self, message: JobLeft, source: Channel | None = None) -> None:
+        fronts = [
+            front
+            for front in self.node.connected('front')
+            if front is not source and front.peer.job_notices
+        ]
+        if not self.limit.allows(len(fronts), self.dispatcher.now()):
+            self.dispatcher.counts['notices_dropped'] += 1
+            return
+        for front in fronts:
+            front.notify(message)
--- a/src/limpetlanding/runs/registry.py
+++ b/src/limpetlanding/runs/registry.py
@@ -13,6 +13,7 @@
 from typing import Any, Generic, TypeVar
 
 from limpetlanding.runs.jobs import ActiveJob
+from limpetlanding.runs.room import LEASE_MS
 
 RUN_RETENTION_S = 10
 """How long a worker remembers a run that it does not have any more, or never
@@ -30,6 +31,16 @@
 """Jobs of each kind that a front remembers; it covers 660 jobs a second during
 the retention."""
 
+LOST_RUNS_TIMEOUT_S = 0.45 + 0.3 + LEASE_MS / 980 + 0.1
+"""Time without any link after which no run of this front is left at a worker.
+The worker detects the silent link, drops the front and stops its runs; if the
+worker is suspended at that moment, the lease at its executor expires, whose
+clock may be 2% slow."""
+
+MAX_RESUBMISSION_WAIT_S = 0.45 + 0.3 + LOST_RUNS_TIMEOUT_S + 0.1
+"""Longest wait of a resubmission until the runs of the earlier submission have
+ended: the time until a worker is lost, and then until its runs are."""
+
 Key = TypeVar('Key', bound=Hashable)
 Value = TypeVar('Value')
 
@@ -128,7 +139,11 @@
         self.ended: RecentEntries[str, ActiveJob] = _recent_jobs()
         # Whether all fronts in touch have confirmed that they know of it.
         self.cancelled: RecentEntries[str, bool] = _recent_jobs()
-        self.run_elsewhere: RecentEntries[str, bool] = _recent_jobs()
+        # By the incarnation of the front that had the job: the number of its
+        # last message, and whether the job may still have runs.
+        self.run_elsewhere: RecentEntries[str, dict[str, tuple[int, bool]]] = (
+            _recent_jobs()
+        )
 
     def is_cancelled(self, job_id: str, now: float) -> bool:
         """Tell whether a client has cancelled the job."""
@@ -151,6 +166,39 @@
             for job_id in self.cancelled.keys(now)
         }
 
+    def record_run_elsewhere(
+        self, job_id: str, front: str, state: tuple[int, bool], now: float
+    ) -> bool:
+        """Record that a job has run at another front.
+
+        Parameters
+        ----------
+        job_id : str
+            The job.
+        front : str
+            Incarnation of the other front.
+        state : tuple of int and bool
+            Number of its message, and whether the job may still have runs.
+        now : float
+            Time in monotonic seconds.
+
+        Returns
+        -------
+        bool
+            Whether it is new; messages may arrive twice and out of order.
+        """
+        known = self.run_elsewhere.get(job_id, now) or {}
+        if front in known and known[front] >= state:
+            return False
+        self.run_elsewhere.record(job_id, known | {front: state}, now)
+        return True
+
+    def runs_elsewhere(self, job_id: str, now: float) -> bool:
+        """Tell whether the job may still have runs of another front."""
+        recorded_at, fronts = self.run_elsewhere.entries.get(job_id, (now, {}))
+        is_recent = now - recorded_at <= MAX_RESUBMISSION_WAIT_S
+        return is_recent and any(has_runs for _, has_runs in fronts.values())
+
     def may_have_run(self, job_id: str, now: float) -> bool:
         """Tell whether a task of the job may have been started before."""
         earlier = self.ended.get(job_id, now)
--- a/src/limpetlanding/runs/tests/test_registry.py
+++ b/src/limpetlanding/runs/tests/test_registry.py
@@ -7,6 +7,7 @@
 from limpetlanding.runs.registry import (
     JOB_RETENTION_S,
     MAX_REMEMBERED_JOBS,
+    MAX_RESUBMISSION_WAIT_S,
     RUN_RETENTION_S,
     JobRegistry,
     RecentEntries,
@@ -16,6 +17,7 @@
 
 OWNER = 'front-1/17'
 JOB = '5c0e7a21d94b36f8'
+JOB = '5c0e7a21d94b36f8'
 KEY = '5c0e7a21d94b36f8.0.0.1/1'
 
 
@@ -44,6 +46,38 @@
         assert recent.get('second', now=18) is None
 
 
+class TestRunsElsewhere:
+    """Guards against starts beside the runs of another front."""
+
+    def test_runs_count_until_their_front_tells_their_end(self):
+        registry = JobRegistry()
+        assert registry.record_run_elsewhere(JOB, OWNER, (1, True), now=100)
+        assert registry.runs_elsewhere(JOB, now=100)
+        assert registry.record_run_elsewhere(JOB, OWNER, (2, False), now=100.1)
+        assert not registry.runs_elsewhere(JOB, now=100.1)
+        assert registry.may_have_run(JOB, now=100.1)
+
+    def test_message_that_was_overtaken_does_not_hide_the_end(self):
+        registry = JobRegistry()
+        registry.record_run_elsewhere(JOB, OWNER, (2, False), now=100)
+        assert not registry.record_run_elsewhere(JOB, OWNER, (1, True), now=101)
+        assert not registry.runs_elsewhere(JOB, now=101)
+
+    def test_end_at_one_front_does_not_hide_the_runs_of_another(self):
+        registry = JobRegistry()
+        registry.record_run_elsewhere(JOB, OWNER, (1, True), now=100)
+        registry.record_run_elsewhere(JOB, 'front-3/9', (8, False), now=100)
+        assert registry.runs_elsewhere(JOB, now=100)
+
+    def test_lost_front_does_not_hold_a_job_back_for_ever(self):
+        registry = JobRegistry()
+        registry.record_run_elsewhere(JOB, OWNER, (1, True), now=0)
+        until = MAX_RESUBMISSION_WAIT_S
+        assert registry.runs_elsewhere(JOB, now=until)
+        assert not registry.runs_elsewhere(JOB, now=until + 0.1)
+        assert registry.may_have_run(JOB, now=until + 0.1)
+
+
 class TestRunRegistry:
     """Guards against a second decision on a run that was decided before."""
 
--- a/src/limpetlanding/wire/run_messages.py
+++ b/src/limpetlanding/wire/run_messages.py
@@ -180,6 +180,22 @@
     job_id: str
 
 
+@message('job.left')
+@dataclass(slots=True)
+class JobLeft:
+    """Front to front: a client has left a job that has run, or was told so.
+
+    ``front`` is the incarnation of the front that had the job, ``number`` rises
+    with each message of this front. ``has_runs`` tells whether the job may
+    still have runs there; another message follows when they have ended.
+    """
+
+    job_id: str
+    front: str
+    number: int
+    has_runs: bool
+
+
 @message('workers')
 @dataclass(slots=True)
 class KnownWorkers:
