--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -36,7 +36,11 @@
     is_hopeless_trial,
     retry_after_s,
 )
-from limpetlanding.runs.room import LEASE_MS
+from limpetlanding.runs.registry import (
+    LOST_RUNS_TIMEOUT_S,
+    MAX_RESUBMISSION_WAIT_S,
+    JobRegistry,
+)
 from limpetlanding.runs.worker_losses import WorkerLosses
 from limpetlanding.wire import Channel
 from limpetlanding.wire.run_messages import (
@@ -64,12 +68,6 @@
 """A stop is repeated over new links for this long. After that the worker has
 stopped the runs on its own, because it has lost this front."""
 
-LOST_RUNS_TIMEOUT_S = 0.45 + 0.3 + LEASE_MS / 980 + 0.1
-"""Time without any link after which no run of this front is left at a worker.
-The worker detects the silent link, drops the front and stops its runs; if the
-worker is suspended at that moment, the lease at its executor expires, whose
-clock may be 2% slow."""
-
 MIN_PASS_PAUSE_S = 0.002
 """Pause between two passes over the waiting jobs; a job that arrives meanwhile
 waits for its end."""
@@ -80,13 +78,8 @@
 SHORTAGE_MEMORY_S = 1
 """Time after which a task that found no room does not count any more."""
 
-ENDED_JOB_RETENTION_S = 30
-"""How long the run numbers of an ended job, and the ids of cancelled jobs, are
-kept for resubmissions."""
-
-MAX_RESUBMISSION_WAIT_S = 0.45 + 0.3 + LOST_RUNS_TIMEOUT_S + 0.1
-"""Longest wait of a resubmission until the runs of the earlier submission have
-ended: the time until a worker is lost, and then until its runs are."""
+ANSWERS_BEFORE_RESUBMISSION = frozenset(('client gone', 'given up'))
+"""Ends of a job that has run after which its client may send it again."""
 
 
 class JobNotStarted(LimpetlandingError):
@@ -138,8 +131,7 @@
         self.loop = asyncio.get_running_loop()
         self.now = clock or self.loop.time
         self.jobs: dict[str, ActiveJob] = {}
-        self.ended_jobs: dict[str, ActiveJob] = {}
-        self.cancelled: set[str] = set()
+        self.registry = JobRegistry()
         # Whether the jobs have been abandoned, because the front stops.
         self.is_stopping = False
         self.losses = LossLedger()
@@ -154,6 +146,8 @@
         # Called with the seconds from the submission to the answer and to the
         # first order, if there was one.
         self.on_answer: Callable[[float, float | None], None] = _ignore_answer
+        # Called with a job that has run, and that a client may send again.
+        self.on_left: Callable[[ActiveJob], None] = _ignore_left
 
     async def run(self) -> None:
         """Assign waiting tasks whenever something has changed."""
@@ -211,10 +205,10 @@
             have been started; or if runs of an earlier submission go on.
         """
         submitted_at = self.now()
-        if not (job.job_id in self.cancelled or job.job_id in self.jobs):
+        if not (self.is_cancelled(job.job_id) or job.job_id in self.jobs):
             await self._wait_for_earlier(job.job_id, wait_s)
         # It may have been cancelled during the wait.
-        if job.job_id in self.cancelled:
+        if self.is_cancelled(job.job_id):
             return JobState.FAILED
         active = self.jobs.get(job.job_id)
         if active is None:
@@ -223,20 +217,28 @@
             active = self._add_job(job, queue, wait_s, version, submitted_at)
         return await self._answer(active, is_connected, submitted_at + wait_s)
 
-    def cancel(self, job_id: str) -> bool:
+    def is_cancelled(self, job_id: str) -> bool:
+        """Tell whether this front knows that a job has been cancelled."""
+        return self.registry.is_cancelled(job_id, self.now())
+
+    def cancel(self, job_id: str, age_s: float = 0) -> bool:
         """Cancel a job; its waiting clients receive the state ``failed``.
 
         A submission that arrives later receives the same answer.
 
+        Parameters
+        ----------
+        job_id : str
+            The job.
+        age_s : float
+            Time since the client has cancelled it, in seconds.
+
         Returns
         -------
         bool
             Whether the job was active at this front.
         """
-        self.cancelled.add(job_id)
-        self.loop.call_later(
-            ENDED_JOB_RETENTION_S, self.cancelled.discard, job_id
-        )
+        self.registry.record_cancelled(job_id, self.now() - age_s)
         active = self.jobs.get(job_id)
         if active is None:
             return False
@@ -248,7 +250,7 @@
     def abandon_all(self) -> None:
         """Answer all active jobs as unfinished, because the front stops."""
         self.is_stopping = True
-        for earlier in self.ended_jobs.values():
+        for earlier in self.registry.ended.values(self.now()):
             # Ends the waits of resubmissions.
             earlier.no_runs_left.set()
         for active in list(self.jobs.values()):
@@ -393,7 +395,7 @@
         JobAbandoned
             If they have not ended in time.
         """
-        earlier = self.ended_jobs.get(job_id)
+        earlier = self.registry.ended.get(job_id, self.now())
         if earlier is None or not earlier.placed:
             return
         with suppress(TimeoutError):
@@ -424,11 +426,11 @@
             self.loop.create_future(),
             wait_s,
         )
-        earlier = self.ended_jobs.get(job.job_id)
+        earlier = self.registry.ended.get(job.job_id, now)
         if earlier is not None:
             active.runs = earlier.runs
-            # The client must not be told that the job has not run.
-            active.may_have_run = earlier.has_run
+        # The client must not be told that the job has not run.
+        active.may_have_run = self.registry.may_have_run(job.job_id, now)
         self.jobs[job.job_id] = active
         logger.bind(
             request_id=job.job_id,
@@ -479,8 +481,7 @@
         self._record_answer(active, why)
         job_id = active.job.job_id
         self.jobs.pop(job_id, None)
-        self.ended_jobs[job_id] = active
-        self.loop.call_later(ENDED_JOB_RETENTION_S, self._forget_job, active)
+        self.registry.ended.record(job_id, active, self.now())
         active.waiting.clear()
         if not active.outcome.done():
             active.outcome.cancel()
@@ -488,6 +489,8 @@
             keys = [x.key for x in active.placed.values() if x.key in view.runs]
             if keys:
                 self.background.spawn(self._stop_runs(view, keys, why))
+        if active.has_run and why in ANSWERS_BEFORE_RESUBMISSION:
+            self.on_left(active)
 
     def _record_answer(self, active: ActiveJob, answer: str) -> None:
         now = self.now()
@@ -510,10 +513,6 @@
             workers=sorted(active.workers),
         ).info('job answered: {}', answer)
 
-    def _forget_job(self, active: ActiveJob) -> None:
-        if self.ended_jobs.get(active.job.job_id) is active:
-            self.ended_jobs.pop(active.job.job_id)
-
     def _place_waiting(self) -> None:
         now = self.now()
         jobs = [
@@ -546,6 +545,8 @@
         ):
             self._refuse(active)
             return
+        if self.registry.runs_elsewhere(active.job.job_id, now):
+            return
         try:
             chosen, left = pool.assign(active, now, is_trial)
         except Exception as error:
@@ -621,7 +622,7 @@
             self._record_order(active, view, tasks, is_trial)
         try:
             reply = await view.channel.request(
-                message, ORDER_TIMEOUT_S, lambda: self._is_wanted(active)
+                message, ORDER_TIMEOUT_S, lambda: self._may_start(active)
             )
         except RequestWithdrawn as error:
             self._handle_withdrawn_order(active, view, keys, error)
@@ -687,8 +688,14 @@
         else:
             self._end_job(active, 'client gone')
 
-    def _is_wanted(self, active: ActiveJob) -> bool:
+    def _may_start(self, active: ActiveJob) -> bool:
         """Tell whether tasks of a job may be started now."""
+        return self._is_wanted(active) and not self.registry.runs_elsewhere(
+            active.job.job_id, self.now()
+        )
+
+    def _is_wanted(self, active: ActiveJob) -> bool:
+        """Tell whether a job is undecided and its clients wait for it."""
         return (
             not active.outcome.done()
             and self.now() <= active.waits_until
@@ -875,6 +882,10 @@
     """Do nothing; used until the metrics are set up."""
 
 
+def _ignore_left(_active: ActiveJob) -> None:
+    """Do nothing; used until a callback is set."""
+
+
 def _run_end(how: str) -> RunEnd:
     try:
         return RunEnd(how)
--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -16,6 +16,7 @@
 from limpetlanding.runs.dispatcher import Dispatcher
 from limpetlanding.runs.fleet import Fleet
 from limpetlanding.runs.jobs import objective_s
+from limpetlanding.runs.left_jobs import LeftJobs
 from limpetlanding.runs.loss_reports import (
     received_loss,
     send_known_losses,
@@ -30,6 +31,7 @@
     CatalogUpdate,
     ExecutorLost,
     JobCancelled,
+    JobLeft,
     KnownWorkers,
     RunsEnded,
     WorkerReport,
@@ -73,6 +75,7 @@
         self.fleet = Fleet(node.hello.failure_domain, rng)
         self.dispatcher = Dispatcher(self.fleet, rng, node.clock)
         self.dispatcher.on_loss = self._share_loss
+        self.left_jobs = LeftJobs(node, self.dispatcher)
         self.subset = WorkerSubset(node.hello.node, node.hello.failure_domain)
         self.subset_outdated = asyncio.Event()
         # Address of each worker according to its record.
@@ -87,6 +90,7 @@
             KnownWorkers: self._handle_known_workers,
             JobCancelled: self._handle_job_cancelled,
             ExecutorLost: self._handle_loss,
+            JobLeft: self.left_jobs.handle,
         }
         node.handler = self.handle
         node.on_peer_up = self._peer_up
@@ -166,7 +170,7 @@
         return self._cancel(job_id, 'client')
 
     def _cancel(self, job_id: str, source: str) -> bool:
-        is_known = job_id in self.dispatcher.cancelled
+        is_known = self.dispatcher.is_cancelled(job_id)
         is_here = self.dispatcher.cancel(job_id)
         logger.bind(
             request_id=job_id, step='cancel', peer=source, here=is_here
@@ -196,7 +200,7 @@
     ) -> None:
         job_id = message.job_id
         dispatcher = self.dispatcher
-        if job_id in dispatcher.jobs or job_id not in dispatcher.cancelled:
+        if job_id in dispatcher.jobs or not dispatcher.is_cancelled(job_id):
             self._cancel(job_id, channel.peer.node)
 
     def _handle_loss(self, channel: Channel, message: ExecutorLost) -> None:
@@ -300,7 +304,8 @@
                 _known_workers(list(self.subset.candidates.values()))
             )
             # The peer may have started after these cancellations.
-            for job_id in sorted(self.dispatcher.cancelled):
+            dispatcher = self.dispatcher
+            for job_id in dispatcher.registry.cancelled.keys(dispatcher.now()):
                 channel.notify(JobCancelled(job_id))
             return
         channel.has_work = lambda: self.dispatcher.has_runs_at(channel)
