Judge the progress of a run by its estimate and its executor's rounding

Callers of long tasks got `failed`, or no answer by their deadline: a run whose percentage stayed equal for 0.6 s was stopped as stalled and started again, until the job had used its attempts.

The fixed limit assumed that the percentage changes with each inventory. Now the finest step between the percentages of an executor is learned from the values that it lists (whole numbers until a finer one is seen), and a run is stalled after ten steps of a run of its estimated duration, at the earliest after 0.6 s. With steps of 0.001% or less the limit is 0.6 s as before. Without an estimate and fine steps the duration of a step is unknown, so that the run is left. A stalled run of an estimate of up to 6 s is stopped after 0.6 s in any case.

Not covered: executors that list steps coarser than whole numbers, and runs that take over ten times their estimate.

--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -33,6 +33,7 @@
     StartOrder,
     StartReply,
 )
+from limpetlanding.runs.progress import ProgressWatch
 from limpetlanding.runs.room import Room
 from limpetlanding.runs.tracked_run import (
     Evidence,
@@ -73,10 +74,6 @@
 RETRY_PAUSE_S = 0.03
 """Pause after an unanswered call."""
 
-STALL_TIMEOUT_S = 0.6
-"""A run without progress for this long is stopped. The percentage of a healthy
-run changes with each inventory."""
-
 MAX_ORDER_AGE_S = 1
 """An order that has not been sent to the executor by then is dropped. The front
 counts a silent worker as lost after 0.75 s, and starts its runs elsewhere
@@ -148,6 +145,7 @@
         # wall clock rises from one incarnation to the next.
         self.room = Room(int(time.time() * 1000), stop_s)
         self.health = ExecutorHealth()
+        self.progress = ProgressWatch()
         self.run_ratio = 1.0
         # Positions in the executor's list of ended runs: the last one received,
         # and the last one whose acknowledgement the executor has received.
@@ -299,6 +297,7 @@
         self.room.begin_incarnation(executor.capacity)
         self.capacity_announced_at = self.now()
         self.health = ExecutorHealth()
+        self.progress = ProgressWatch()
         self.acknowledged = 0
         self.acknowledged_by_executor = 0
         self.reachable = False
@@ -589,8 +588,8 @@
             self._finish(held, how, evidence)
         for run in inventory.active:
             held = self.runs.get((run.task, run.run))
-            if held is not None:
-                self._update_progress(held, run.percent, now)
+            if held and self.progress.is_stalled(held, run.percent, now):
+                self._stop_stalled(held, now)
         self._stop_unknown_runs(unknown_before)
 
     def _stop_unknown_runs(self, known: set[tuple[str, int]]) -> None:
@@ -605,21 +604,13 @@
         for key in sorted(unknown - known):
             self.background.spawn(self._stop_unknown_run(*key))
 
-    def _update_progress(
-        self, held: TrackedRun, percent: float, now: float
-    ) -> None:
-        if percent != held.percent:
-            held.percent = percent
-            held.progress_at = now
-        elif (
-            now - held.progress_at > STALL_TIMEOUT_S
-            and held.requested_end is None
-        ):
+    def _stop_stalled(self, held: TrackedRun, now: float) -> None:
+        if held.requested_end is None:
             logger.bind(
                 request_id=held.job_id,
                 task=held.task,
                 run=held.run,
-                percent=percent,
+                percent=held.percent,
                 age_ms=round((now - held.progress_at) * 1000),
             ).info('run stopped: no progress')
             self.stop(held, RunEnd.STALLED)
--- a/src/limpetlanding/standin/platform_executor.py
+++ b/src/limpetlanding/standin/platform_executor.py
@@ -119,6 +119,9 @@
         Start of the incarnation on the event loop's clock, in seconds.
     hold_calls : int
         Calls of ``/api/hold`` so far.
+    percent_digits : int or None
+        Decimal digits of the percentages that it lists; None if it lists
+        whole numbers.
     crashed : asyncio.Event
         Set by a crash. The program that serves the executor closes its
         listener, restarts it later and clears the event.
@@ -141,6 +144,7 @@
     started_at: float = 0
     sequence: int = 0
     hold_calls: int = 0
+    percent_digits: int | None = 1
     draining: bool = False
     history: list[StandinRun] = field(default_factory=list)
     # Changes of the capacity: the time, and the capacity before it.
@@ -386,7 +390,8 @@
     def _progress_percent(self, run: StandinRun, now: float) -> float:
         if run.work_s >= STALLED_WORK_S:
             return 7
-        return round(100 * (now - run.started) / run.work_s, 1)
+        percent = 100 * (now - run.started) / run.work_s
+        return round(percent, self.percent_digits)
 
     def _extend_lease(self, deadline_ms: float) -> None:
         max_lease_ms = self.clock_ms() + MAX_LEASE_MS
