Accept job ids with upper-case hexadecimal digits

Clients whose id has a digit from A to F got 404 for each call.

The pattern now allows both. Ids are used as they were sent: task names, run lists and cancellations contain them unchanged, and ids that differ in case are two jobs. No other place of fronts, workers and links looks at the digits; the patterns in jobs/ids.py and contracts/ are of ids and keys that this program issues itself.

Evidence: two of the new tests failed before with 404 instead of 200.

--- a/src/limpetlanding/platform/ingress.py
+++ b/src/limpetlanding/platform/ingress.py
@@ -26,7 +26,7 @@
 RETRY_AFTER_S = 1
 
 _DEADLINE_HEADER = 'X-Deadline-Ms'
-_JOB_ID = re.compile('[0-9a-f]{16}')
+_JOB_ID = re.compile('[0-9A-Fa-f]{16}')
 
 
 def client_app(front: Front) -> web.Application:
--- a/src/limpetlanding/platform/tests/test_odd_jobs.py
+++ b/src/limpetlanding/platform/tests/test_odd_jobs.py
@@ -107,3 +107,42 @@
         except (Malformed, Unsupported):
             return
         assert all(step.need.cpu >= 0 for step in job.steps)
+
+
+class TestUpperCaseIds:
+    """Guards against ids that are refused or changed because of their case."""
+
+    UPPER = JOB.upper()
+
+    async def test_job_runs_under_the_id_as_sent(self):
+        async with System(worker_count=1).run() as system:
+            assert (await system.submit(self.UPPER))[0] == 200
+            tasks = {run.task for run in system.history()}
+            assert tasks == {f'{self.UPPER}.0.0.0', f'{self.UPPER}.0.0.1'}
+
+    async def test_ids_that_differ_in_case_are_two_jobs(self):
+        async with System(worker_count=1).run() as system:
+            system.executors[0].work_s = lambda _: 1
+            path = f'/quote/{self.UPPER}'
+            jobs = [
+                asyncio.create_task(system.submit(job_id, body(1), 9000))
+                for job_id in (JOB, self.UPPER)
+            ]
+            await asyncio.sleep(0.3)
+            assert (await system.call('GET', path))[1]['state'] == 'running'
+            assert (await system.call('DELETE', path))[0] == 200
+            statuses = [(await job)[0] for job in jobs]
+            assert statuses[0] == 200
+            hows = {run.task: run.how for run in system.history()}
+            assert hows == {
+                f'{JOB}.0.0.0': 'done',
+                f'{self.UPPER}.0.0.0': 'stopped',
+            }
+
+    @pytest.mark.parametrize(
+        'job', [JOB[1:], JOB + '0', 'g' * 16, '\u0667' * 16]
+    )
+    async def test_other_ids_are_refused(self, job):
+        async with System(worker_count=1).run() as system:
+            assert (await system.submit(job))[0] == 404
+            assert not system.history()
