Refuse heartbeats whose zone, version or slots are wrong

A heartbeat without a zone or a version, or with one of these or the slots of another type, was used: the fields are not needed, so that nothing read them. The protocol page says that fields missing or of another type show another writer, whose heartbeat names no executor to use. With the others of its fields it could change the capacity and labels of a worker's executor.

They are now checked like the other fields, and such a heartbeat is answered 400. The page lists all three as part of a heartbeat, and omits fields whose value is 0, false or empty. So a missing number of slots is accepted (it may be 0); a missing zone or version is not, since each executor has them. The type of coldLeftMs, clockMs and remainingMs stays unchecked; the page does not say that these numbers are whole.

--- a/src/limpetlanding/platform/decode.py
+++ b/src/limpetlanding/platform/decode.py
@@ -138,7 +138,11 @@
     if not all(isinstance(label, str) for label in labels):
         raise Malformed('labels: expected texts', step='announce')
     room = required_field(fields, 'capacity', dict, 'announce')
-    required_field(fields, 'address', str, 'announce')
+    # Heartbeats in which these are wrong come from another writer. The number
+    # of slots may be omitted, as all fields whose value is 0.
+    for name in ('address', 'zone', 'version'):
+        required_field(fields, name, str, 'announce')
+    count_field(fields, 'slots', 0, 'announce')
     return Executor(
         executor_id=executor_id,
         start_time_ms=count_field(fields, 'born', 0, 'announce'),
--- a/src/limpetlanding/platform/tests/test_odd_heartbeats.py
+++ b/src/limpetlanding/platform/tests/test_odd_heartbeats.py
@@ -24,6 +24,20 @@
 from limpetlanding.standin.platform_executor import StandinExecutor
 
 JOB = '5c0e7a21d94b36f8'
+
+PAGE_HEARTBEAT = {
+    'service': 'huvo11a',
+    'address': '10.128.0.9:8080',
+    'zone': 'pokhara',
+    'version': 'v1',
+    'slots': 8,
+    'state': 'ready',
+    'coldLeftMs': 0,
+    'capacity': {'cpu': 16000, 'memMb': 32768, 'gpu': 0},
+    'labels': ['a', 'r1-3'],
+    'clockMs': 482113,
+    'seq': 4,
+}
 OTHER_ID = 'i-other'
 IDS = (
     'a\r\nb',
@@ -41,6 +55,9 @@
     fields = {
         'service': 'desk',
         'address': '10.0.0.9:80',
+        'zone': 'z1',
+        'version': 'v1',
+        'slots': 8,
         'state': 'ready',
         'capacity': {'cpu': 4000, 'memMb': 64, 'gpu': 0},
         'labels': ['a'],
@@ -57,12 +74,32 @@
     return orjson.dumps(fields)
 
 
+TEXTS_AND_LISTS = (
+    'service',
+    'state',
+    'address',
+    'zone',
+    'version',
+    'capacity',
+    'labels',
+)
+
+REQUIRED = (
+    'service',
+    'address',
+    'zone',
+    'version',
+    'state',
+    'capacity',
+    'seq',
+)
+
 ODD_HEARTBEATS = (
     *UNREADABLE,
-    *map(without, ('service', 'address', 'state', 'capacity', 'seq')),
+    *map(without, REQUIRED),
     *(
         with_field(heartbeat(), name, value)
-        for name in ('seq', 'born')
+        for name in ('seq', 'born', 'slots')
         for value in (*NUMBERS, *OTHER_TYPES)
     ),
     *(
@@ -72,7 +109,7 @@
     ),
     *(
         with_field(heartbeat(), name, value)
-        for name in ('service', 'state', 'address', 'capacity', 'labels')
+        for name in TEXTS_AND_LISTS
         for value in (*NUMBERS, *OTHER_TYPES[3:])
     ),
     heartbeat(state='gone'),
@@ -98,6 +135,36 @@
     def test_readable_heartbeat_is_decoded(self):
         assert decode_executor('i-0', heartbeat()).capacity.cpu == 4000
 
+    @pytest.mark.parametrize('name', ['slots', 'coldLeftMs', 'born', 'labels'])
+    def test_heartbeat_without_a_field_that_may_be_0_is_decoded(self, name):
+        # Guards against a sound executor that is not used, since it omits a
+        # field whose value is 0 or empty.
+        fields = PAGE_HEARTBEAT | {'born': 2000}
+        fields.pop(name)
+        assert decode_executor('i-0', orjson.dumps(fields)).sequence == 4
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {},
+            {'slots': 0},
+            {'zone': '', 'version': ''},
+            {'coldLeftMs': 12.5},
+            {'state': 'draining', 'remainingMs': 1900},
+            {'somethingNew': [1]},
+        ],
+    )
+    def test_heartbeat_of_the_protocol_page_is_decoded(self, changes):
+        # Guards against a sound executor that is not used.
+        content = orjson.dumps(PAGE_HEARTBEAT | changes)
+        assert decode_executor('i-7f3a91c2', content).pool == 'huvo11a'
+
+    def test_heartbeat_of_the_standin_is_decoded(self, monkeypatch):
+        executor = StandinExecutor('i-0')
+        monkeypatch.setattr(StandinExecutor, 'clock_ms', lambda _: 5000)
+        content = orjson.dumps(executor.announcement())
+        assert decode_executor('i-0', content).pool == 'desk'
+
     @pytest.mark.parametrize('content', ODD_HEARTBEATS)
     def test_odd_heartbeat_is_refused(self, content):
         with pytest.raises(Malformed):
