Notice at once that an idle executor has restarted

An idle executor was asked only every 2 s, so that the worker did not know of the restart. X-Expect-Instance names the id only, a new life has seen no fencing token, and the answer to a start comes after the task has started.

The connections of a process break as it ends. While runs are active, an inventory that waits at the executor shows that. Now the worker keeps such a call open at an idle executor, too: if it breaks, no start is sent until the executor has answered, and a restarted executor gets none until it has announced itself. The inventory that follows each new call shows that the known life received it. A start that was ordered but not sent when the call broke is refused and goes elsewhere.

Cost: one more call to an idle executor every 2 s, from its own machine, which the platform does not price, and one more open connection. No start waits for it.

Left open: an executor that ends without closing its connections, and a restart within the moment in which the break is on its way.

--- a/src/limpetlanding/platform/tests/test_restarts.py
+++ b/src/limpetlanding/platform/tests/test_restarts.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import pytest
+
+from limpetlanding.platform.tests.faulty_system import FaultySystem
 from limpetlanding.platform.tests.rig import (
     LINK_PORT,
     System,
@@ -101,6 +104,31 @@
             # Guards against a front that chooses by the old report for ever.
             assert (await system.submit(NEXT_JOB))[0] == 200
 
+    @pytest.mark.parametrize('idle_s', [0.1, 0.7, 1.3, 1.9, 2.5])
+    @pytest.mark.parametrize('since_s', [0, 0.01, 0.4, 1])
+    async def test_task_is_not_started_at_an_idle_executor_that_restarted(
+        self, idle_s, since_s
+    ):
+        # It has the same id, and its first heartbeat has not arrived.
+        async with FaultySystem(worker_count=1).run() as system:
+            executor = system.executors[0]
+            executor.labels = ('special', 'r1')
+            await system.announce(0, executor.announcement())
+            needs_label = body(requirements='special')
+            assert (await system.submit(JOB, needs_label))[0] == 200
+            known_count = len(system.history())
+            await asyncio.sleep(idle_s)
+            system.unheard.add(0)
+            executor.labels = ('r1',)
+            system.restart_at_once(0)
+            await asyncio.sleep(since_s)
+            await system.submit(NEXT_JOB, needs_label, 400)
+            assert len(system.history()) == known_count
+            # Guards against an executor that is not used again.
+            system.unheard.discard(0)
+            await system.settle()
+            assert (await system.submit(f'{7:016x}'))[0] == 200
+
     async def test_label_that_is_announced_no_more_is_not_used(self):
         async with System(worker_count=1).run() as system:
             executor = system.executors[0]
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -7,7 +7,6 @@
 import asyncio
 import time
 from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import replace
 from math import inf
 
@@ -15,6 +14,7 @@
 
 from limpetlanding.errors import LimpetlandingError
 from limpetlanding.runs.background import BackgroundTasks, errors_logged
+from limpetlanding.runs.connection_watch import ConnectionWatch
 from limpetlanding.runs.executor_losses import ExecutorLosses
 from limpetlanding.runs.health import ExecutorHealth
 from limpetlanding.runs.losses import LossKind
@@ -65,9 +65,6 @@
 """Added to a fencing token that the executor rejects as too low, for example
 after the clock was set back."""
 
-IDLE_INVENTORY_INTERVAL_S = 2
-"""Interval of inventories while there are no runs."""
-
 EXECUTOR_CALL_TIMEOUT_S = 0.25
 """Time for the answer to a start or stop; healthy executors need about 1 ms."""
 
@@ -161,6 +158,9 @@
         self.no_runs_left = asyncio.Event()
         self.no_runs_left.set()
         self.background = BackgroundTasks()
+        self.watch = ConnectionWatch(
+            port, self._note_missing_answer, self.wake.set
+        )
 
     @property
     def runs(self) -> dict[tuple[str, int], TrackedRun]:
@@ -286,6 +286,7 @@
 
     async def close(self) -> None:
         """Stop calling the executor; the leases of its runs expire."""
+        await self.watch.close()
         await self.background.cancel()
 
     def _begin_incarnation(self, executor: Executor) -> None:
@@ -430,7 +431,7 @@
     async def _poll_inventories(self, generation: int) -> None:
         while self._is_current(generation):
             if not self._is_busy() and not self._has_to_call():
-                await self._wait_while_idle()
+                await self._wait_while_idle(generation)
             if self._is_current(generation):
                 with errors_logged('look'):
                     await self._take_inventory(generation)
@@ -454,11 +455,13 @@
             or self.room.may_get_late_start(self.loop.time())
         )
 
-    async def _wait_while_idle(self) -> None:
-        self.wake.clear()
-        with suppress(TimeoutError):
-            async with asyncio.timeout(IDLE_INVENTORY_INTERVAL_S):
-                await self.wake.wait()
+    async def _wait_while_idle(self, generation: int) -> None:
+        if self.watch.is_open:
+            await self.watch.wait(self.wake)
+        if self._is_current(generation) and not self.watch.is_open:
+            # The inventory that follows shows that the known incarnation has
+            # received the call.
+            await self.watch.open(self.call_target(), self.acknowledged)
 
     async def _take_inventory(self, generation: int) -> None:
         sent = self.loop.time()
@@ -641,6 +644,8 @@
             return 'this process was suspended'
         if self._is_capacity_outdated():
             return 'capacity not announced lately'
+        if not self.room.is_confirmed:
+            return 'room not confirmed by the executor'
         return 'no room is left' if self.room.is_overfull() else ''
 
     async def _send_start(
--- a/src/limpetlanding/runs/tests/test_supervisor.py
+++ b/src/limpetlanding/runs/tests/test_supervisor.py
@@ -160,6 +160,16 @@
             await asyncio.sleep(0.1)
             assert len(ends) == len(port.starts) == 1
 
+    async def test_executor_whose_connection_breaks(self):
+        # It may have restarted, perhaps with other labels.
+        async with supervised() as (supervisor, port, ends):
+            supervisor.start(tracked_run())
+            # The call that watches the executor fails.
+            supervisor.watch.on_break()
+            await asyncio.sleep(0.1)
+            assert len(ends) == 1
+            assert not port.starts
+
 
 class TestAnnouncement:
     """Guards against room that a late announcement grants."""
