--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -7,7 +7,6 @@
 import asyncio
 import time
 from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import replace
 from math import inf
 
@@ -15,6 +14,7 @@
 
 from limpetlanding.errors import LimpetlandingError
 from limpetlanding.runs.background import BackgroundTasks, errors_logged
+from limpetlanding.runs.connection_watch import ConnectionWatch
 from limpetlanding.runs.executor_losses import ExecutorLosses
 from limpetlanding.runs.health import ExecutorHealth
 from limpetlanding.runs.losses import LossKind
@@ -33,6 +33,7 @@
     StartOrder,
     StartReply,
 )
+from limpetlanding.runs.progress import ProgressWatch
 from limpetlanding.runs.room import Room
 from limpetlanding.runs.tracked_run import (
     Evidence,
@@ -64,19 +65,12 @@
 """Added to a fencing token that the executor rejects as too low, for example
 after the clock was set back."""
 
-IDLE_INVENTORY_INTERVAL_S = 2
-"""Interval of inventories while there are no runs."""
-
 EXECUTOR_CALL_TIMEOUT_S = 0.25
 """Time for the answer to a start or stop; healthy executors need about 1 ms."""
 
 RETRY_PAUSE_S = 0.03
 """Pause after an unanswered call."""
 
-STALL_TIMEOUT_S = 0.6
-"""A run without progress for this long is stopped. The percentage of a healthy
-run changes with each inventory."""
-
 MAX_ORDER_AGE_S = 1
 """An order that has not been sent to the executor by then is dropped; it counts
 from the sending of the order by the front. The front counts a silent worker as
@@ -148,6 +142,7 @@
         # wall clock rises from one incarnation to the next.
         self.room = Room(int(time.time() * 1000), stop_s)
         self.health = ExecutorHealth()
+        self.progress = ProgressWatch()
         self.run_ratio = 1.0
         # Positions in the executor's list of ended runs: the last one received,
         # and the last one whose acknowledgement the executor has received.
@@ -163,6 +158,9 @@
         self.no_runs_left = asyncio.Event()
         self.no_runs_left.set()
         self.background = BackgroundTasks()
+        self.watch = ConnectionWatch(
+            port, self._note_missing_answer, self.wake.set
+        )
 
     @property
     def runs(self) -> dict[tuple[str, int], TrackedRun]:
@@ -288,6 +286,7 @@
 
     async def close(self) -> None:
         """Stop calling the executor; the leases of its runs expire."""
+        await self.watch.close()
         await self.background.cancel()
 
     def _begin_incarnation(self, executor: Executor) -> None:
@@ -299,6 +298,7 @@
         self.room.begin_incarnation(executor.capacity)
         self.capacity_announced_at = self.now()
         self.health = ExecutorHealth()
+        self.progress = ProgressWatch()
         self.acknowledged = 0
         self.acknowledged_by_executor = 0
         self.reachable = False
@@ -433,7 +433,7 @@
     async def _poll_inventories(self, generation: int) -> None:
         while self._is_current(generation):
             if not self._is_busy() and not self._has_to_call():
-                await self._wait_while_idle()
+                await self._wait_while_idle(generation)
             if self._is_current(generation):
                 with errors_logged('look'):
                     await self._take_inventory(generation)
@@ -457,11 +457,13 @@
             or self.room.may_get_late_start(self.loop.time())
         )
 
-    async def _wait_while_idle(self) -> None:
-        self.wake.clear()
-        with suppress(TimeoutError):
-            async with asyncio.timeout(IDLE_INVENTORY_INTERVAL_S):
-                await self.wake.wait()
+    async def _wait_while_idle(self, generation: int) -> None:
+        if self.watch.is_open:
+            await self.watch.wait(self.wake)
+        if self._is_current(generation) and not self.watch.is_open:
+            # The inventory that follows shows that the known incarnation has
+            # received the call.
+            await self.watch.open(self.call_target(), self.acknowledged)
 
     async def _take_inventory(self, generation: int) -> None:
         sent = self.loop.time()
@@ -591,8 +593,8 @@
             self._finish(held, how, evidence)
         for run in inventory.active:
             held = self.runs.get((run.task, run.run))
-            if held is not None:
-                self._update_progress(held, run.percent, now)
+            if held and self.progress.is_stalled(held, run.percent, now):
+                self._stop_stalled(held, now)
         self._stop_unknown_runs(unknown_before)
 
     def _stop_unknown_runs(self, known: set[tuple[str, int]]) -> None:
@@ -607,21 +609,13 @@
         for key in sorted(unknown - known):
             self.background.spawn(self._stop_unknown_run(*key))
 
-    def _update_progress(
-        self, held: TrackedRun, percent: float, now: float
-    ) -> None:
-        if percent != held.percent:
-            held.percent = percent
-            held.progress_at = now
-        elif (
-            now - held.progress_at > STALL_TIMEOUT_S
-            and held.requested_end is None
-        ):
+    def _stop_stalled(self, held: TrackedRun, now: float) -> None:
+        if held.requested_end is None:
             logger.bind(
                 request_id=held.job_id,
                 task=held.task,
                 run=held.run,
-                percent=percent,
+                percent=held.percent,
                 age_ms=round((now - held.progress_at) * 1000),
             ).info('run stopped: no progress')
             self.stop(held, RunEnd.STALLED)
@@ -652,6 +646,8 @@
             return 'the order is too old'
         if self._is_capacity_outdated():
             return 'capacity not announced lately'
+        if not self.room.is_confirmed:
+            return 'room not confirmed by the executor'
         return 'no room is left' if self.room.is_overfull() else ''
 
     async def _send_start(
