Answer a DELETE once all fronts in touch know the cancelled job

Cause: a front notified the others only if the job was not its own, and only for the first DELETE. A notification is sent once, and is lost with its link; the list of cancelled jobs was sent to new peers only, not over a new link of a peer that had not been reported as down.

Fix, in runs/cancellation.py: a cancellation is a request, which channels repeat over the next link, and which a front confirms once it has recorded it and those to which it passes it on have confirmed it. It names its wave and the fronts that are told in it: linked fronts are told once each, and no two wait for each other. Without the confirmations within 3 s the DELETE is answered with 503 and Retry-After, and the next one asks again. The job is stopped at once in any case. A front that is down is not waited for; each first link and each link after a loss carries the list of the remembered jobs with their ages, so that it renews nothing. A client that closes its connection does not end the requests, which run in the background.

A peer of the build before answers the request at once and reads the id only, and gets one notification a job in place of the list (Hello, cancel_lists).

--- a/src/limpetlanding/platform/ingress.py
+++ b/src/limpetlanding/platform/ingress.py
@@ -13,6 +13,7 @@
     Unsupported,
     decode_job,
 )
+from limpetlanding.runs.cancellation import CancellationUnconfirmed
 from limpetlanding.runs.dispatcher import JobAbandoned, JobNotStarted
 from limpetlanding.runs.front import Front
 from limpetlanding.runs.model import Queue
@@ -71,8 +72,22 @@
         return _json_response(404, error='no such path')
     if request.method == 'POST':
         return await _submit(front, queue, job_id, request)
-    if request.method == 'DELETE' and front.cancel(job_id):
+    if request.method == 'DELETE':
+        return await _cancel(front, job_id)
+    return _state(front, job_id)
+
+
+async def _cancel(front: Front, job_id: str) -> web.Response:
+    try:
+        is_here = await front.cancel(job_id)
+    except CancellationUnconfirmed as error:
+        return _service_unavailable(f'not confirmed by {error.detail}')
+    if is_here:
         return _json_response(200)
+    return _json_response(410, error='no such job')
+
+
+def _state(front: Front, job_id: str) -> web.Response:
     active = front.dispatcher.jobs.get(job_id)
     if active is None:
         return _json_response(410, error='no such job')
--- a/src/limpetlanding/platform/roles.py
+++ b/src/limpetlanding/platform/roles.py
@@ -121,6 +121,7 @@
         settings.region,
         slow_heartbeats=True,
         loss_reports=True,
+        cancel_lists=True,
     )
     node = Node(
         hello, _no_handler, NodeOptions(timing=LINK_TIMING, clock=_boottime_s)
--- a/src/limpetlanding/platform/tests/rig.py
+++ b/src/limpetlanding/platform/tests/rig.py
@@ -89,6 +89,7 @@
         f'127.0.0.1:{LINK_PORT + number}',
         '',
         loss_reports=True,
+        cancel_lists=True,
     )
     options = NodeOptions(timing=LINK_TIMING, rng=Random(1), clock=clock)
     return Node(hello, None, options, **streams)
--- a/src/limpetlanding/runs/background.py
+++ b/src/limpetlanding/runs/background.py
@@ -14,13 +14,14 @@
     def __init__(self) -> None:
         self.tasks: set[asyncio.Task[Any]] = set()
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        """Run a coroutine as a background task."""
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run a coroutine as a background task and return the task."""
         task = asyncio.get_running_loop().create_task(work)
         # The event loop has only weak references to tasks.
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         task.add_done_callback(log_task_exception)
+        return task
 
     async def cancel(self) -> None:
         """Cancel all tasks and wait until they have ended."""
--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -12,6 +12,7 @@
 
 from limpetlanding.runs.background import errors_logged
 from limpetlanding.runs.backoff import follow_stream
+from limpetlanding.runs.cancellation import Cancellations
 from limpetlanding.runs.catalog import CatalogHolder
 from limpetlanding.runs.dispatcher import Dispatcher
 from limpetlanding.runs.fleet import Fleet
@@ -27,6 +28,7 @@
 from limpetlanding.runs.subset import Candidate, WorkerSubset
 from limpetlanding.wire import Channel, Node, is_ipv4_address
 from limpetlanding.wire.run_messages import (
+    CancelledJobs,
     CatalogUpdate,
     ExecutorLost,
     JobCancelled,
@@ -73,6 +75,7 @@
         self.fleet = Fleet(node.hello.failure_domain, rng)
         self.dispatcher = Dispatcher(self.fleet, rng, node.clock)
         self.dispatcher.on_loss = self._share_loss
+        self.cancellations = Cancellations(node, self.dispatcher)
         self.subset = WorkerSubset(node.hello.node, node.hello.failure_domain)
         self.subset_outdated = asyncio.Event()
         # Address of each worker according to its record.
@@ -80,12 +83,13 @@
         self.seeds: set[str] = set()
         # When the remaining jobs are abandoned, in monotonic seconds.
         self.stop_deadline = inf
-        self.handlers: dict[type, Callable[[Channel, Any], None]] = {
+        self.handlers: dict[type, Callable[[Channel, Any], Any]] = {
             WorkerReport: self.dispatcher.handle_report,
             RunsEnded: self.dispatcher.handle_runs_ended,
             CatalogUpdate: self._handle_catalog_update,
             KnownWorkers: self._handle_known_workers,
-            JobCancelled: self._handle_job_cancelled,
+            JobCancelled: self.cancellations.handle,
+            CancelledJobs: self.cancellations.handle_list,
             ExecutorLost: self._handle_loss,
         }
         node.handler = self.handle
@@ -152,31 +156,11 @@
     def handle(self, channel: Channel, message: Any) -> Any:
         """Process a message of a worker or of another front."""
         handler = self.handlers.get(type(message))
-        if handler is not None:
-            handler(channel, message)
-
-    def cancel(self, job_id: str) -> bool:
-        """Cancel a job; if it is not active here, notify the other fronts.
-
-        Returns
-        -------
-        bool
-            Whether the job was active at this front.
-        """
-        return self._cancel(job_id, 'client')
-
-    def _cancel(self, job_id: str, source: str) -> bool:
-        is_known = self.dispatcher.is_cancelled(job_id)
-        is_here = self.dispatcher.cancel(job_id)
-        logger.bind(
-            request_id=job_id, step='cancel', peer=source, here=is_here
-        ).info('job cancelled')
-        if not is_here and not is_known:
-            # Not all fronts are linked with each other, so that each of them
-            # forwards the message.
-            for channel in self.node.connected('front'):
-                channel.notify(JobCancelled(job_id))
-        return is_here
+        return handler and handler(channel, message)
+
+    async def cancel(self, job_id: str) -> bool:
+        """Cancel a job; see `Cancellations.cancel`."""
+        return await self.cancellations.cancel(job_id)
 
     def _handle_catalog_update(
         self, channel: Channel, update: CatalogUpdate
@@ -191,14 +175,6 @@
         ):
             self._add_worker(address, domain)
 
-    def _handle_job_cancelled(
-        self, channel: Channel, message: JobCancelled
-    ) -> None:
-        job_id = message.job_id
-        dispatcher = self.dispatcher
-        if job_id in dispatcher.jobs or not dispatcher.is_cancelled(job_id):
-            self._cancel(job_id, channel.peer.node)
-
     def _handle_loss(self, channel: Channel, message: ExecutorLost) -> None:
         received = received_loss(message)
         if received is None or not self.dispatcher.handle_loss(*received):
@@ -299,10 +275,7 @@
             channel.notify(
                 _known_workers(list(self.subset.candidates.values()))
             )
-            # The peer may have started after these cancellations.
-            dispatcher = self.dispatcher
-            for job_id in dispatcher.registry.cancelled.keys(dispatcher.now()):
-                channel.notify(JobCancelled(job_id))
+            self.cancellations.send_known(channel)
             return
         channel.has_work = lambda: self.dispatcher.has_runs_at(channel)
         self.dispatcher.worker_connected(channel)
@@ -315,11 +288,16 @@
                 front.notify(known)
 
     def _peer_relinked(self, channel: Channel) -> None:
-        if channel.peer.role != 'front':
+        if channel.peer.role == 'front':
+            # Messages may have been lost with the earlier link.
+            self.cancellations.send_known(channel)
+        else:
             self.dispatcher.worker_connected(channel)
 
     def _peer_down(self, channel: Channel) -> None:
-        if channel.peer.role != 'front':
+        if channel.peer.role == 'front':
+            self.cancellations.peer_down(channel)
+        else:
             self.dispatcher.worker_disconnected(channel)
 
 
--- a/src/limpetlanding/wire/messages.py
+++ b/src/limpetlanding/wire/messages.py
@@ -55,6 +55,8 @@
     slow_heartbeats: bool = False
     # Whether the sender understands reports of lost executors.
     loss_reports: bool = False
+    # Whether the sender understands lists of cancelled jobs.
+    cancel_lists: bool = False
 
 
 @message('hb')
--- a/src/limpetlanding/wire/run_messages.py
+++ b/src/limpetlanding/wire/run_messages.py
@@ -167,12 +167,33 @@
 @message('job.cancelled')
 @dataclass(slots=True)
 class JobCancelled:
-    """Front to front: a client has cancelled a job.
+    """Request, front to front: a client has cancelled a job.
 
-    The receiver may be the front that runs the job.
+    The receiver may be the front that runs the job. The reply follows once the
+    receiver and the fronts to which it passes the message on know it.
+
+    ``told`` names the fronts that the sender and those before it tell, and the
+    receiver does not. ``wave`` identifies the cancellation by a client; the
+    receiver has until ``deadline_ms``. An earlier build sends a notification
+    without these fields.
     """
 
     job_id: str
+    told: list[str] = field(default_factory=list)
+    deadline_ms: float = 0
+    wave: str = ''
+
+
+@message('jobs.cancelled')
+@dataclass(slots=True)
+class CancelledJobs:
+    """Request, front to front over a new link: the known cancelled jobs.
+
+    ``ages_ms`` has the time since each of them was cancelled.
+    """
+
+    job_ids: list[str]
+    ages_ms: list[float]
 
 
 @message('workers')
