--- a/src/limpetlanding/wire/messages.py
+++ b/src/limpetlanding/wire/messages.py
@@ -55,7 +55,7 @@
     slow_heartbeats: bool = False
     # Whether the sender understands reports of lost executors.
     loss_reports: bool = False
-    # Whether the sender understands `JobLeft`.
+    # Whether the sender understands `JobLeft` and `CancelledJobs`.
     job_notices: bool = False
 
 
