Measure the processor time of fronts and workers for each job

bin/soak cost runs the programs as processes under a steady load without faults and subtracts what they use while idle.

--- a/src/limpetlanding/soak/__main__.py
+++ b/src/limpetlanding/soak/__main__.py
@@ -10,6 +10,7 @@
 import fire
 from rich.console import Console
 
+from limpetlanding.soak.job_cost import cost
 from limpetlanding.soak.seeded_run import Report, run_seed
 
 MAX_SEED = 1_000_000
@@ -101,4 +102,7 @@
 
 
 if __name__ == '__main__':
-    fire.Fire(soak, name='soak')
+    if sys.argv[1:2] == ['cost']:
+        fire.Fire({'cost': cost}, name='soak')
+    else:
+        fire.Fire(soak, name='soak')
