Let a job be cancelled after its route has been withdrawn

What callers saw: each DELETE for a running job whose route had been removed was answered with 404, and the job went on; a GET as well.

Cause: _serve looked for the queue of the path first. Fix: a path without a queue in force may name a job of a queue that was withdrawn within the retention of cancellations (CatalogHolder.withdrawn), at any front, or a job that is active at this front, by the host and prefix of its own queue. Only DELETE, and GET of an active job, are answered then; POST is still refused with 404.

A front that was started after the removal knows no withdrawn route and answers 404.

--- a/src/limpetlanding/platform/ingress.py
+++ b/src/limpetlanding/platform/ingress.py
@@ -61,15 +61,9 @@
         return _service_unavailable('no configuration yet')
     host = request.host.partition(':')[0].lower()
     queue = front.catalogs.find(host, request.path)
-    if queue is None:
-        return _json_response(404, error='no such queue')
-    job_id = request.path.removeprefix(queue.prefix)
-    if not job_id and request.method == 'GET':
-        return _json_response(
-            200, waiting=front.dispatcher.waiting_count(queue)
-        )
+    job_id = '' if queue is None else request.path.removeprefix(queue.prefix)
     if not _JOB_ID.fullmatch(job_id):
-        return _json_response(404, error='no such path')
+        return await _serve_other(front, queue, host, request)
     if request.method == 'POST':
         return await _submit(front, queue, job_id, request)
     if request.method == 'DELETE':
@@ -77,6 +71,37 @@
     return _state(front, job_id)
 
 
+async def _serve_other(
+    front: Front, queue: Queue | None, host: str, request: web.Request
+) -> web.Response:
+    """Answer a request whose path is not that of a job of a queue in force."""
+    job_id = _withdrawn_job_id(front, host, request.path)
+    if job_id and request.method == 'DELETE':
+        return await _cancel(front, job_id)
+    if job_id in front.dispatcher.jobs and request.method == 'GET':
+        return _state(front, job_id)
+    if queue is None:
+        return _json_response(404, error='no such queue')
+    if request.path == queue.prefix and request.method == 'GET':
+        return _json_response(
+            200, waiting=front.dispatcher.waiting_count(queue)
+        )
+    return _json_response(404, error='no such path')
+
+
+def _withdrawn_job_id(front: Front, host: str, path: str) -> str:
+    """Return the id of a job whose queue has been withdrawn, or nothing.
+
+    The queue of an active job is known for as long as the job is active.
+    """
+    queues = front.catalogs.find_withdrawn(host, path)
+    active = front.dispatcher.jobs.get(path.rpartition('/')[2])
+    if active is not None and active.queue.host == host:
+        queues.append(active.queue)
+    job_ids = [path.removeprefix(queue.prefix) for queue in queues]
+    return next((x for x in job_ids if _JOB_ID.fullmatch(x)), '')
+
+
 async def _cancel(front: Front, job_id: str) -> web.Response:
     try:
         is_here = await front.cancel(job_id)
--- a/src/limpetlanding/runs/catalog.py
+++ b/src/limpetlanding/runs/catalog.py
@@ -3,14 +3,19 @@
 import dataclasses
 from collections import defaultdict
 from collections.abc import Callable
+from time import monotonic
 from typing import Any
 
 import orjson
 from loguru import logger
 
 from limpetlanding.runs.model import Catalog, Queue
+from limpetlanding.runs.registry import JOB_RETENTION_S, RecentEntries
 from limpetlanding.wire.run_messages import CatalogUpdate
 
+MAX_WITHDRAWN_QUEUES = 1000
+"""Withdrawn queues that are remembered; a configuration has up to hundreds."""
+
 
 class CatalogHolder:
     """Stores the newest configuration; an older one never replaces it.
@@ -19,6 +24,8 @@
     ----------
     on_change : callable
         Called with each newer configuration.
+    clock : callable
+        Returns monotonic seconds.
 
     Examples
     --------
@@ -29,11 +36,20 @@
     False
     """
 
-    def __init__(self, on_change: Callable[[Catalog], None]) -> None:
+    def __init__(
+        self,
+        on_change: Callable[[Catalog], None],
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
         self.on_change = on_change
+        self.clock = clock
         self.catalog = Catalog()
         # Queues of each host, those with the longest prefix first.
         self.queues: dict[str, list[Queue]] = {}
+        # By host and prefix. Their jobs go on and can still be cancelled.
+        self.withdrawn: RecentEntries[tuple[str, str], Queue] = RecentEntries(
+            JOB_RETENTION_S, MAX_WITHDRAWN_QUEUES
+        )
 
     @property
     def version(self) -> int:
@@ -51,6 +67,7 @@
             previous=self.version,
             queues=len(catalog.queues),
         ).info('configuration in force')
+        self._record_withdrawn(catalog)
         self.catalog = catalog
         self.queues = _queues_by_host(catalog)
         self.on_change(catalog)
@@ -81,6 +98,21 @@
             None,
         )
 
+    def find_withdrawn(self, host: str, path: str) -> list[Queue]:
+        """Return the recently withdrawn queues of a request."""
+        return [
+            queue
+            for queue in self.withdrawn.values(self.clock())
+            if queue.host == host and path.startswith(queue.prefix)
+        ]
+
+    def _record_withdrawn(self, catalog: Catalog) -> None:
+        kept = {(queue.host, queue.prefix) for queue in catalog.queues}
+        for queue in self.catalog.queues:
+            key = queue.host, queue.prefix
+            if key not in kept:
+                self.withdrawn.record(key, queue, self.clock())
+
 
 def _queues_by_host(catalog: Catalog) -> dict[str, list[Queue]]:
     by_host: dict[str, list[Queue]] = defaultdict(list)
--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -71,7 +71,7 @@
         self.store = store
         self.rng = rng
         self.loop = asyncio.get_running_loop()
-        self.catalogs = CatalogHolder(self._broadcast_catalog)
+        self.catalogs = CatalogHolder(self._broadcast_catalog, self.loop.time)
         self.fleet = Fleet(node.hello.failure_domain, rng)
         self.dispatcher = Dispatcher(self.fleet, rng, node.clock)
         self.dispatcher.on_loss = self._share_loss
--- a/src/limpetlanding/runs/tests/test_catalog.py
+++ b/src/limpetlanding/runs/tests/test_catalog.py
@@ -7,6 +7,7 @@
 
 from limpetlanding.runs.catalog import CatalogHolder
 from limpetlanding.runs.model import Catalog, Queue
+from limpetlanding.runs.registry import JOB_RETENTION_S
 from limpetlanding.wire.run_messages import CatalogUpdate
 
 HOST = 'desk.example'
@@ -49,6 +50,27 @@
         assert holder.queues[HOST] == [queue('own', '/a/')]
 
 
+class TestWithdrawn:
+    """Guards against a job that cannot be cancelled without its queue."""
+
+    def test_withdrawn_queue_is_known_for_a_while(self):
+        now = 100
+        holder = CatalogHolder(lambda _: None, lambda: now)
+        old = queue('old', '/a/')
+        holder.replace_if_newer(Catalog(1, [old]), 'store')
+        holder.replace_if_newer(Catalog(2, []), 'store')
+        assert holder.find_withdrawn(HOST, '/a/1') == [old]
+        assert not holder.find_withdrawn(HOST, '/b/1')
+        assert not holder.find_withdrawn('other.example', '/a/1')
+        now += JOB_RETENTION_S + 1
+        assert not holder.find_withdrawn(HOST, '/a/1')
+
+    def test_queue_whose_settings_change_is_not_withdrawn(self):
+        holder = holder_of(queue('old', '/a/'))
+        holder.replace_if_newer(Catalog(2, [queue('new', '/a/')]), 'store')
+        assert not holder.find_withdrawn(HOST, '/a/1')
+
+
 class TestUpdate:
     """Guards against a configuration that peers of two builds do not share."""
 
