--- a/src/limpetlanding/runs/progress.py
+++ b/src/limpetlanding/runs/progress.py
@@ -25,8 +25,8 @@
 within 0.6 s, so that no estimate is needed."""
 
 ESTIMATE_MARGIN = 10
-"""Factor by which a sound run may take longer than its estimate, which is
-rough, or than the average of its steps."""
+"""Factor by which a step of a sound run may take longer than the estimate says.
+Estimates are off by about 40%, and executors may be 8 times slower at times."""
 
 
 @dataclass(slots=True)
