Import the retention of jobs from where it is in test_repeated_orders

Evidence: pytest on the file ended with an ImportError during collection; now its four tests run and pass.

--- a/src/limpetlanding/platform/tests/test_repeated_orders.py
+++ b/src/limpetlanding/platform/tests/test_repeated_orders.py
@@ -4,8 +4,7 @@
 
 from limpetlanding.platform.tests.faulty_system import FaultySystem
 from limpetlanding.platform.tests.rig import body
-from limpetlanding.runs.dispatcher import ENDED_JOB_RETENTION_S
-from limpetlanding.runs.registry import RUN_RETENTION_S
+from limpetlanding.runs.registry import JOB_RETENTION_S, RUN_RETENTION_S
 from limpetlanding.standin.platform_checks import overlapping_runs
 
 OK = 200
@@ -99,10 +98,10 @@
         # Its runs are numbered from 1 again.
         async with IdleSystem(worker_count=1).run() as system:
             assert (await system.send('short', front=0))[0] == OK
-            await asyncio.sleep(ENDED_JOB_RETENTION_S + 1)
+            await asyncio.sleep(JOB_RETENTION_S + 1)
             assert (await system.send('short', front=0))[0] == OK
             assert len(system.history()) == 2
 
     def test_worker_forgets_a_number_before_a_front_uses_it_again(self):
         # The order of a job that has ended may still be on its way for 2 s.
-        assert RUN_RETENTION_S + 2 < ENDED_JOB_RETENTION_S
+        assert RUN_RETENTION_S + 2 < JOB_RETENTION_S
