Don't pass on cancellations that fronts are about to forget

What callers saw: nothing yet; fronts that have just forgotten a cancelled job could tell each other of it without a pause.

Cause: the ages in a list of cancelled jobs leave out the time on the way. A front that receives a job whose remaining retention is shorter than the transit takes it for new, and sends its list to all other fronts, which have forgotten the job again by then.

The new test failed before the change.

Older cancellations are still recorded.

--- a/src/limpetlanding/runs/cancellation.py
+++ b/src/limpetlanding/runs/cancellation.py
@@ -42,6 +42,12 @@
 of the front that has asked it, so that its answer says who is missing."""
 
 
+MAX_SHARED_AGE_S = JOB_RETENTION_S - CONFIRM_TIMEOUT_S
+"""An older cancellation from a list is recorded, but not passed on. The ages in
+a list leave out its time on the way, so that fronts that have just forgotten a
+job would tell each other of it again and again."""
+
+
 class CancellationUnconfirmed(LimpetlandingError):
     """Some fronts may not know yet that the job is cancelled."""
 
@@ -129,9 +135,9 @@
         has_new = False
         for job_id, age_ms in pairs:
             if not self.dispatcher.is_cancelled(job_id):
-                has_new = True
                 # The order of the arguments maps NaN to 0.
                 age_s = min(max(0, age_ms / 1000), JOB_RETENTION_S)
+                has_new = has_new or age_s < MAX_SHARED_AGE_S
                 self._cancel_here(job_id, channel.peer.node, age_s)
         if has_new:
             # Not all fronts are linked with the one that has sent the list.
--- a/src/limpetlanding/runs/tests/test_cancellation.py
+++ b/src/limpetlanding/runs/tests/test_cancellation.py
@@ -17,6 +17,7 @@
 
 JOB = '5c0e7a21d94b36f8'
 OTHER_JOB = '1111111111111111'
+TRANSIT_S = 0.002
 
 
 class Peer:
@@ -39,6 +40,23 @@
         self.received.append(message)
 
 
+class Linked(Peer):
+    """Channel to a front that receives lists after a transit."""
+
+    def __init__(self, name, target, source):
+        super().__init__(name)
+        self.target = target
+        self.source = source
+
+    async def request(self, message, timeout_s, is_wanted=None):
+        """Deliver a list."""
+        self.received.append(message)
+        await asyncio.sleep(TRANSIT_S)
+        channels = self.target.node.channels
+        back = next(x for x in channels if x.peer.node == self.source)
+        self.target.handle_list(back, message)
+
+
 class FakeDispatcher:
     """Dispatcher that only remembers which jobs are cancelled."""
 
@@ -249,6 +267,21 @@
         assert cancellations.dispatcher.is_cancelled(JOB)
         assert not cancellations.dispatcher.is_cancelled(OTHER_JOB)
 
+    async def test_fronts_that_forget_a_job_do_not_tell_each_other_again(self):
+        fronts = {name: front() for name in 'abc'}
+        for name, cancellations in fronts.items():
+            cancellations.node.channels += [
+                Linked(other, fronts[other], name)
+                for other in fronts
+                if other != name
+            ]
+        source, other = fronts['a'].node.channels
+        age_ms = 1000 * (JOB_RETENTION_S - TRANSIT_S / 2)
+        fronts['a'].handle_list(source, CancelledJobs([JOB], [age_ms]))
+        await asyncio.sleep(1)
+        assert fronts['a'].dispatcher.registry.cancelled.entries
+        assert not [*source.received, *other.received]
+
     async def test_earlier_build_gets_one_notification_a_job(self):
         target = Peer('target')
         target.peer.job_notices = False
