Count the wait for runs of another front from that front's message

Cause: the time was kept for the job, so that a message of any other front, also one without runs, renewed the wait for the lost one.

Evidence: the new test failed before: a job held back by a front that sent its last message at 0 s was still held back at 2.7 s after another front's message at 2 s.

Why it works: each front's message has its own time.

--- a/src/limpetlanding/runs/registry.py
+++ b/src/limpetlanding/runs/registry.py
@@ -140,10 +140,10 @@
         # Whether all fronts in touch have confirmed that they know of it.
         self.cancelled: RecentEntries[str, bool] = _recent_jobs()
         # By the incarnation of the front that had the job: the number of its
-        # last message, and whether the job may still have runs.
-        self.run_elsewhere: RecentEntries[str, dict[str, tuple[int, bool]]] = (
-            _recent_jobs()
-        )
+        # last message, whether the job may still have runs, and when it came.
+        self.run_elsewhere: RecentEntries[
+            str, dict[str, tuple[int, bool, float]]
+        ] = _recent_jobs()
 
     def is_cancelled(self, job_id: str, now: float) -> bool:
         """Tell whether a client has cancelled the job."""
@@ -188,16 +188,18 @@
             Whether it is new; messages may arrive twice and out of order.
         """
         known = self.run_elsewhere.get(job_id, now) or {}
-        if front in known and known[front] >= state:
+        if front in known and known[front][:2] >= state:
             return False
-        self.run_elsewhere.record(job_id, known | {front: state}, now)
+        self.run_elsewhere.record(job_id, known | {front: (*state, now)}, now)
         return True
 
     def runs_elsewhere(self, job_id: str, now: float) -> bool:
         """Tell whether the job may still have runs of another front."""
-        recorded_at, fronts = self.run_elsewhere.entries.get(job_id, (now, {}))
-        is_recent = now - recorded_at <= MAX_RESUBMISSION_WAIT_S
-        return is_recent and any(has_runs for _, has_runs in fronts.values())
+        fronts = self.run_elsewhere.get(job_id, now) or {}
+        return any(
+            has_runs and now - recorded_at <= MAX_RESUBMISSION_WAIT_S
+            for _, has_runs, recorded_at in fronts.values()
+        )
 
     def may_have_run(self, job_id: str, now: float) -> bool:
         """Tell whether a task of the job may have been started before."""
--- a/src/limpetlanding/runs/tests/test_registry.py
+++ b/src/limpetlanding/runs/tests/test_registry.py
@@ -69,6 +69,14 @@
         registry.record_run_elsewhere(JOB, 'front-3/9', (8, False), now=100)
         assert registry.runs_elsewhere(JOB, now=100)
 
+    def test_message_of_another_front_does_not_hold_a_job_back_for_longer(self):
+        registry = JobRegistry()
+        registry.record_run_elsewhere(JOB, OWNER, (1, True), now=0)
+        registry.record_run_elsewhere(JOB, 'front-3/9', (8, False), now=2)
+        assert registry.runs_elsewhere(JOB, now=2)
+        until = MAX_RESUBMISSION_WAIT_S
+        assert not registry.runs_elsewhere(JOB, now=until + 0.1)
+
     def test_lost_front_does_not_hold_a_job_back_for_ever(self):
         registry = JobRegistry()
         registry.record_run_elsewhere(JOB, OWNER, (1, True), now=0)
