Don't repeat a start at an executor that has begun to drain

What callers saw: a task could be started at an executor after its worker had learned that it drains.

Cause: draining is checked as the order is accepted. A start that the executor answered with an expired lease is sent again, up to three times, without asking whether the executor still accepts tasks.

Evidence: the new test failed before: three starts were sent instead of one.

Why it works: draining is among the reasons asked before each call. The run ends as refused, and its front places the task elsewhere.

--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -642,6 +642,8 @@
             return 'the executor was replaced'
         if held.revision != self.revision:
             return 'other labels or another pool were announced'
+        if self.executor.draining:
+            return 'the executor is draining'
         if self.now() - held.ordered_at > MAX_ORDER_AGE_S:
             return 'the order is too old'
         if self._is_capacity_outdated():
--- a/src/limpetlanding/runs/tests/test_worker.py
+++ b/src/limpetlanding/runs/tests/test_worker.py
@@ -280,6 +280,19 @@
             assert len(ordered.port.starts) == 1
             assert ordered.worker.counts['refused'] == 1
 
+    async def test_start_is_not_repeated_at_a_draining_executor(self):
+        async with ordered_worker() as ordered:
+
+            async def refuse(_number):
+                ordered.announce({'draining': True})
+                return StartReply(CLOCK_MS, 'expired')
+
+            ordered.port.answer_start = refuse
+            assert ordered.start(order(ordered.worker.report())).taken
+            await asyncio.sleep(0.1)
+            assert len(ordered.port.starts) == 1
+            assert ordered.worker.counts['refused'] == 1
+
     async def test_order_for_a_capacity_that_has_shrunk_is_rejected(self):
         async with ordered_worker() as ordered:
             message = order(ordered.worker.report())
