Pause between calls that watch an idle executor

What callers saw: nothing yet. A worker would call an executor that answers at once, without the wait that the call asks for, all the time.

Cause: a watching call is opened again as soon as it has ended, with an inventory beside it.

Evidence: an idle executor that answers within 1 ms was called 2,000 times in a second of virtual time. The new test failed before.

Why it works: two watching calls are at least 30 ms apart. A call that has waited as asked is still followed by the next one at once.

--- a/src/limpetlanding/runs/connection_watch.py
+++ b/src/limpetlanding/runs/connection_watch.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import suppress
+from math import inf
 
 from limpetlanding.runs.background import BackgroundTasks
 from limpetlanding.runs.ports import (
@@ -26,6 +27,10 @@
 WATCH_TIMEOUT_S = 0.2
 """Time for the answer in addition to the wait that the call requests."""
 
+MIN_INTERVAL_S = 0.03
+"""Shortest time between two calls. An executor that does not wait would be
+called without a pause."""
+
 
 class ConnectionWatch:
     """Keeps a call at an executor open.
@@ -55,6 +60,8 @@
         self.on_break = on_break
         self.on_end = on_end
         self.is_open = False
+        self.loop = asyncio.get_running_loop()
+        self.opened_at = -inf
         self.background = BackgroundTasks()
 
     async def open(self, to: CallTarget, acknowledged: int) -> None:
@@ -68,20 +75,25 @@
             Position of the last end that was received from it.
         """
         self.is_open = True
+        self.opened_at = self.loop.time()
         self.background.spawn(self._call(to, acknowledged))
         await asyncio.sleep(0)
 
     async def wait(self, wake: asyncio.Event) -> None:
-        """Wait for an event, for no longer than a call stays open.
+        """Wait for an event, or until another call may be due.
 
         Parameters
         ----------
         wake : asyncio.Event
             Event that is waited for; it is cleared first.
         """
+        longest_s = WATCH_MS / 1000 if self.is_open else MIN_INTERVAL_S
+        until = self.opened_at + longest_s
+        if not self.is_open and self.loop.time() >= until:
+            return
         wake.clear()
         with suppress(TimeoutError):
-            async with asyncio.timeout(WATCH_MS / 1000):
+            async with asyncio.timeout_at(until):
                 await wake.wait()
 
     async def close(self) -> None:
--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -458,8 +458,7 @@
         )
 
     async def _wait_while_idle(self, generation: int) -> None:
-        if self.watch.is_open:
-            await self.watch.wait(self.wake)
+        await self.watch.wait(self.wake)
         if self._is_current(generation) and not self.watch.is_open:
             # The inventory that follows shows that the known incarnation has
             # received the call.
--- a/src/limpetlanding/runs/tests/test_supervisor.py
+++ b/src/limpetlanding/runs/tests/test_supervisor.py
@@ -208,6 +208,24 @@
             await asyncio.sleep(0.01)
             assert not supervisor.refusal_reason(Resources(CPU))
 
+    async def test_idle_executor_that_answers_at_once_is_called_seldom(
+        self,
+    ):
+        async with supervised() as (_, port, _ends):
+            calls = []
+
+            async def answer_at_once(*call):
+                calls.append(call)
+                await asyncio.sleep(0.001)
+                return inventory()
+
+            port.inventory = answer_at_once
+            for answer in port.inventories:
+                if not answer.done():
+                    answer.set_result(inventory())
+            await asyncio.sleep(1)
+            assert 2 < len(calls) < 100
+
 
 class TestDepartedExecutor:
     """Guards against room of an executor that is not there."""
