--- a/src/limpetlanding/runs/supervisor.py
+++ b/src/limpetlanding/runs/supervisor.py
@@ -458,8 +458,7 @@
         )
 
     async def _wait_while_idle(self, generation: int) -> None:
-        if self.watch.is_open:
-            await self.watch.wait(self.wake)
+        await self.watch.wait(self.wake)
         if self._is_current(generation) and not self.watch.is_open:
             # The inventory that follows shows that the known incarnation has
             # received the call.
@@ -642,6 +641,8 @@
             return 'the executor was replaced'
         if held.revision != self.revision:
             return 'other labels or another pool were announced'
+        if self.executor.draining:
+            return 'the executor is draining'
         if self.now() - held.ordered_at > MAX_ORDER_AGE_S:
             return 'the order is too old'
         if self._is_capacity_outdated():
