Tell fronts of left jobs again over a new link

What callers saw: two runs of one task (TWICE), if the links between fronts were reset together with the connection of a client that returned at once.

Cause: JobLeft is sent once, as a notification.

Evidence: test_runs_do_not_overlap_if_the_link_of_the_fronts_is_reset failed before: with the stop held up, the second run started 0.25 s before the first one had ended.

Why it works: a front remembers its last message about each job for as long as others wait for it, 2.6 s, and sends it again over a new link, as lists of cancelled jobs are. A front that knows the message ignores it. The limit on messages counts these, too.

--- a/src/limpetlanding/platform/tests/test_resubmissions.py
+++ b/src/limpetlanding/platform/tests/test_resubmissions.py
@@ -103,6 +103,29 @@
             assert len(system.history()) == 1
 
 
+class TestResetLinks:
+    """Guards against runs of which a lost message should have told."""
+
+    async def test_runs_do_not_overlap_if_the_link_of_the_fronts_is_reset(self):
+        async with FaultySystem(worker_count=2, front_count=2).run() as system:
+            for executor in system.executors:
+                executor.work_s = lambda _: WORK_S
+            await asyncio.sleep(IDLE_S)
+            job = submit(system)
+            await asyncio.sleep(START_S)
+            assert system.history()
+            # The stop of the run is late.
+            for number in range(system.worker_count):
+                for link in system.links_between('f0', f'w{number}'):
+                    link.stall()
+            for link in system.links_between('f0', 'f1'):
+                link.reset()
+            job.cancel()
+            await asyncio.sleep(UNLINKED_S)
+            assert (await submit(system, front=1))[0] == OK
+            assert not overlapping_runs(system.history())
+
+
 class TestClientThatHasLeft:
     """Guards against starts for a client whose close has not been read yet.
 
--- a/src/limpetlanding/runs/front.py
+++ b/src/limpetlanding/runs/front.py
@@ -280,6 +280,7 @@
                 _known_workers(list(self.subset.candidates.values()))
             )
             self.cancellations.send_known(channel)
+            self.left_jobs.send_known(channel)
             return
         channel.has_work = lambda: self.dispatcher.has_runs_at(channel)
         self.dispatcher.worker_connected(channel)
@@ -295,6 +296,7 @@
         if channel.peer.role == 'front':
             # Messages may have been lost with the earlier link.
             self.cancellations.send_known(channel)
+            self.left_jobs.send_known(channel)
         else:
             self.dispatcher.worker_connected(channel)
 
--- a/src/limpetlanding/runs/left_jobs.py
+++ b/src/limpetlanding/runs/left_jobs.py
@@ -13,7 +13,11 @@
 from limpetlanding.runs.dispatcher import Dispatcher
 from limpetlanding.runs.jobs import ActiveJob
 from limpetlanding.runs.rate_limit import RateLimit
-from limpetlanding.runs.registry import MAX_RESUBMISSION_WAIT_S
+from limpetlanding.runs.registry import (
+    MAX_REMEMBERED_JOBS,
+    MAX_RESUBMISSION_WAIT_S,
+    RecentEntries,
+)
 from limpetlanding.wire import Channel, Node
 from limpetlanding.wire.run_messages import JobLeft
 
@@ -39,6 +43,10 @@
         self.node = node
         self.dispatcher = dispatcher
         self.numbers = count(1)
+        # The last message about each job of this front.
+        self.sent: RecentEntries[str, JobLeft] = RecentEntries(
+            MAX_RESUBMISSION_WAIT_S, MAX_REMEMBERED_JOBS
+        )
         self.limit = RateLimit(MAX_NOTICES_PER_S, MAX_NOTICES_AT_ONCE)
         self.background = BackgroundTasks()
         dispatcher.on_left = self.share
@@ -70,6 +78,11 @@
         # Not all fronts are linked with each other.
         self._send(message, channel)
 
+    def send_known(self, channel: Channel) -> None:
+        """Send the last messages again, which a lost link may have held."""
+        for message in self.sent.values(self.dispatcher.now()):
+            self._send_to([channel], message)
+
     async def _share_end(self, active: ActiveJob) -> None:
         with suppress(TimeoutError):
             async with asyncio.timeout(MAX_RESUBMISSION_WAIT_S):
@@ -77,21 +90,21 @@
             self._send_own(active)
 
     def _send_own(self, active: ActiveJob) -> None:
-        self._send(
-            JobLeft(
-                active.job.job_id,
-                self.node.hello.incarnation,
-                next(self.numbers),
-                bool(active.placed),
-            )
+        message = JobLeft(
+            active.job.job_id,
+            self.node.hello.incarnation,
+            next(self.numbers),
+            bool(active.placed),
         )
+        self.sent.record(message.job_id, message, self.dispatcher.now())
+        self._send(message)
 
     def _send(self, message: JobLeft, source: Channel | None = None) -> None:
-        fronts = [
-            front
-            for front in self.node.connected('front')
-            if front is not source and front.peer.job_notices
-        ]
+        connected = self.node.connected('front')
+        self._send_to([x for x in connected if x is not source], message)
+
+    def _send_to(self, channels: list[Channel], message: JobLeft) -> None:
+        fronts = [front for front in channels if front.peer.job_notices]
         if not self.limit.allows(len(fronts), self.dispatcher.now()):
             self.dispatcher.counts['notices_dropped'] += 1
             return
--- a/src/limpetlanding/runs/tests/test_left_jobs.py
+++ b/src/limpetlanding/runs/tests/test_left_jobs.py
@@ -4,7 +4,7 @@
 from types import SimpleNamespace
 
 from limpetlanding.runs.left_jobs import MAX_NOTICES_AT_ONCE, LeftJobs
-from limpetlanding.runs.registry import JobRegistry
+from limpetlanding.runs.registry import MAX_RESUBMISSION_WAIT_S, JobRegistry
 from limpetlanding.wire.run_messages import JobLeft
 
 JOB = '5c0e7a21d94b36f8'
@@ -74,6 +74,28 @@
         assert not front.messages
 
 
+class TestNextLink:
+    """Guards against a message that is lost with the link to a front."""
+
+    async def test_front_receives_the_last_message_of_each_job_again(self):
+        jobs, front = left_jobs(), Front()
+        active = active_job(['a'])
+        jobs.share(active)
+        jobs.send_known(front)
+        active.placed.clear()
+        active.no_runs_left.set()
+        await asyncio.sleep(0.01)
+        jobs.send_known(front)
+        assert [x.has_runs for x in front.messages] == [True, False]
+
+    async def test_old_messages_are_not_sent_again(self):
+        jobs, front = left_jobs(), Front()
+        jobs.share(active_job([]))
+        await asyncio.sleep(MAX_RESUBMISSION_WAIT_S + 0.1)
+        jobs.send_known(front)
+        assert not front.messages
+
+
 class TestPassingOn:
     """Guards against messages without end, and processor time without limit."""
 
