Keep messages of other fronts from using up the limit of a front's own

What callers saw: on a site of 35 fronts, the message that prevents two runs of a job that is sent again was not sent after the first few such jobs.

Cause: one limit counted a front's own messages and those that it passes on. With 34 linked fronts each message from another front is passed on to 33, so that nine of them used up the 300 that may be sent at once. And a message was sent to all fronts or to none: with more than 300 fronts, never.

Evidence: both new tests failed before: after a message of each of 34 fronts, an own message reached none; of 350 fronts, none was told.

Why it works: own messages have a limit of their own, and beyond a limit some fronts are told, which pass the message on. The bound is 0.8% of a core instead of 0.4%. Each of 35 fronts can tell all others of eight jobs at once and of about two a second after that; this isn't changed here.

--- a/src/limpetlanding/runs/left_jobs.py
+++ b/src/limpetlanding/runs/left_jobs.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 from contextlib import suppress
 from itertools import count
 
@@ -23,9 +24,10 @@
 
 MAX_NOTICES_PER_S = 60
 MAX_NOTICES_AT_ONCE = 300
-"""Limits on the messages that a front sends, those that it passes on included.
-A message costs about 0.07 ms of processor time. Beyond the limits other fronts
-start and refuse jobs as if the client came for the first time."""
+"""Limits on the messages that a front sends about its own jobs, and again on
+those that it passes on, so that these do not use up its own. A message costs
+about 0.07 ms of processor time. Beyond the limits other fronts start and refuse
+jobs as if the client came for the first time."""
 
 
 class LeftJobs:
@@ -47,7 +49,8 @@
         self.sent: RecentEntries[str, JobLeft] = RecentEntries(
             MAX_RESUBMISSION_WAIT_S, MAX_REMEMBERED_JOBS
         )
-        self.limit = RateLimit(MAX_NOTICES_PER_S, MAX_NOTICES_AT_ONCE)
+        self.own_limit = RateLimit(MAX_NOTICES_PER_S, MAX_NOTICES_AT_ONCE)
+        self.passing_limit = RateLimit(MAX_NOTICES_PER_S, MAX_NOTICES_AT_ONCE)
         self.background = BackgroundTasks()
         dispatcher.on_left = self.share
 
@@ -76,12 +79,13 @@
             MAX_RESUBMISSION_WAIT_S, dispatcher.placement_needed.set
         )
         # Not all fronts are linked with each other.
-        self._send(message, channel)
+        others = [x for x in self.node.connected('front') if x is not channel]
+        self._send(others, message, self.passing_limit)
 
     def send_known(self, channel: Channel) -> None:
         """Send the last messages again, which a lost link may have held."""
         for message in self.sent.values(self.dispatcher.now()):
-            self._send_to([channel], message)
+            self._send([channel], message, self.own_limit)
 
     async def _share_end(self, active: ActiveJob) -> None:
         with suppress(TimeoutError):
@@ -97,16 +101,16 @@
             bool(active.placed),
         )
         self.sent.record(message.job_id, message, self.dispatcher.now())
-        self._send(message)
+        self._send(self.node.connected('front'), message, self.own_limit)
 
-    def _send(self, message: JobLeft, source: Channel | None = None) -> None:
-        connected = self.node.connected('front')
-        self._send_to([x for x in connected if x is not source], message)
-
-    def _send_to(self, channels: list[Channel], message: JobLeft) -> None:
-        fronts = [front for front in channels if front.peer.job_notices]
-        if not self.limit.allows(len(fronts), self.dispatcher.now()):
-            self.dispatcher.counts['notices_dropped'] += 1
-            return
-        for front in fronts:
-            front.notify(message)
+    def _send(
+        self, channels: Iterable[Channel], message: JobLeft, limit: RateLimit
+    ) -> None:
+        now = self.dispatcher.now()
+        for front in channels:
+            if not front.peer.job_notices:
+                continue
+            if limit.allows(1, now):
+                front.notify(message)
+            else:
+                self.dispatcher.counts['notices_dropped'] += 1
--- a/src/limpetlanding/runs/tests/test_left_jobs.py
+++ b/src/limpetlanding/runs/tests/test_left_jobs.py
@@ -9,6 +9,7 @@
 
 JOB = '5c0e7a21d94b36f8'
 OWN = 'front-0/1'
+MANY_FRONTS = 34
 
 
 class Front:
@@ -114,6 +115,25 @@
         assert not other.messages
         assert not jobs.dispatcher.registry.may_have_run(JOB, now=0)
 
+    async def test_messages_of_others_leave_room_for_own_ones(self):
+        # Guards against a series of resets that silences each front.
+        fronts = [Front() for _ in range(MANY_FRONTS)]
+        jobs = left_jobs(*fronts)
+        for number in range(MANY_FRONTS):
+            jobs.handle(fronts[number], message(front=f'front-{number}/1'))
+        for front in fronts:
+            front.messages.clear()
+        jobs.share(active_job([]))
+        assert all(len(front.messages) == 1 for front in fronts)
+
+    async def test_some_of_more_fronts_than_the_limit_are_told(self):
+        fronts = [Front() for _ in range(MAX_NOTICES_AT_ONCE + 50)]
+        jobs = left_jobs(*fronts)
+        jobs.share(active_job([]))
+        told = [front for front in fronts if front.messages]
+        assert len(told) == MAX_NOTICES_AT_ONCE
+        assert jobs.dispatcher.counts['notices_dropped'] == 50
+
     async def test_messages_beyond_the_limit_are_dropped_and_counted(self):
         front = Front()
         jobs = left_jobs(front)
