Tell other fronts of the runs that a failed job leaves

What callers saw: two runs of one task, if the answer failed was lost and the client sent the job to another front at once.

Cause: fronts tell of jobs whose client has left or was answered 504, but not of a job that has failed while other tasks of it run.

Evidence: test_runs_do_not_overlap_if_the_job_had_failed_elsewhere failed before: a run began 50 ms before the one at the first front had stopped.

Why it works: a failed job with runs left is told like the others. Failed jobs without runs, and cancelled ones, need no message.

--- a/src/limpetlanding/platform/tests/test_lost_answers.py
+++ b/src/limpetlanding/platform/tests/test_lost_answers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from limpetlanding.platform.tests.rig import System, body
+from limpetlanding.runs.model import JobState
 from limpetlanding.standin.platform_checks import overlapping_runs
 
 JOB = '5c0e7a21d94b36f8'
@@ -103,6 +104,19 @@
             await leave_all(system)
             assert (await system.submit(JOB, body(2), 900, front=2))[0] == 504
 
+    async def test_runs_do_not_overlap_if_the_job_had_failed_elsewhere(self):
+        # The client has not received the answer.
+        async with System(front_count=2).run() as system:
+            slow(system, 2)
+            content = body(2)
+            first = asyncio.create_task(system.submit(JOB, content, 9000))
+            await asyncio.sleep(0.3)
+            active = system.fronts[0].dispatcher.jobs[JOB]
+            active.outcome.set_result(JobState.FAILED)
+            await first
+            assert (await system.submit(JOB, content, 9000, front=1))[0] == 200
+            assert not overlapping_runs(system.history())
+
     @pytest.mark.xfail(
         strict=True,
         reason='KNOWN-RED: only a closed connection shows that a client left',
--- a/src/limpetlanding/runs/dispatcher.py
+++ b/src/limpetlanding/runs/dispatcher.py
@@ -489,7 +489,9 @@
             keys = [x.key for x in active.placed.values() if x.key in view.runs]
             if keys:
                 self.background.spawn(self._stop_runs(view, keys, why))
-        if active.has_run and why in ANSWERS_BEFORE_RESUBMISSION:
+        is_left = active.has_run and why in ANSWERS_BEFORE_RESUBMISSION
+        # The answer may be lost while runs are being stopped.
+        if is_left or (active.placed and why == JobState.FAILED.value):
             self.on_left(active)
 
     def _record_answer(self, active: ActiveJob, answer: str) -> None:
