--- a/src/limpetlanding/runs/left_jobs.py
+++ b/src/limpetlanding/runs/left_jobs.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 from contextlib import suppress
 from itertools import count
 
@@ -13,15 +14,20 @@
 from limpetlanding.runs.dispatcher import Dispatcher
 from limpetlanding.runs.jobs import ActiveJob
 from limpetlanding.runs.rate_limit import RateLimit
-from limpetlanding.runs.registry import MAX_RESUBMISSION_WAIT_S
+from limpetlanding.runs.registry import (
+    MAX_REMEMBERED_JOBS,
+    MAX_RESUBMISSION_WAIT_S,
+    RecentEntries,
+)
 from limpetlanding.wire import Channel, Node
 from limpetlanding.wire.run_messages import JobLeft
 
 MAX_NOTICES_PER_S = 60
 MAX_NOTICES_AT_ONCE = 300
-"""Limits on the messages that a front sends, those that it passes on included.
-A message costs about 0.07 ms of processor time. Beyond the limits other fronts
-start and refuse jobs as if the client came for the first time."""
+"""Limits on the messages that a front sends about its own jobs, and again on
+those that it passes on, so that these do not use up its own. A message costs
+about 0.07 ms of processor time. Beyond the limits other fronts start and refuse
+jobs as if the client came for the first time."""
 
 
 class LeftJobs:
@@ -39,7 +45,12 @@
         self.node = node
         self.dispatcher = dispatcher
         self.numbers = count(1)
-        self.limit = RateLimit(MAX_NOTICES_PER_S, MAX_NOTICES_AT_ONCE)
+        # The last message about each job of this front.
+        self.sent: RecentEntries[str, JobLeft] = RecentEntries(
+            MAX_RESUBMISSION_WAIT_S, MAX_REMEMBERED_JOBS
+        )
+        self.own_limit = RateLimit(MAX_NOTICES_PER_S, MAX_NOTICES_AT_ONCE)
+        self.passing_limit = RateLimit(MAX_NOTICES_PER_S, MAX_NOTICES_AT_ONCE)
         self.background = BackgroundTasks()
         dispatcher.on_left = self.share
 
@@ -68,7 +79,13 @@
             MAX_RESUBMISSION_WAIT_S, dispatcher.placement_needed.set
         )
         # Not all fronts are linked with each other.
-        self._send(message, channel)
+        others = [x for x in self.node.connected('front') if x is not channel]
+        self._send(others, message, self.passing_limit)
+
+    def send_known(self, channel: Channel) -> None:
+        """Send the last messages again, which a lost link may have held."""
+        for message in self.sent.values(self.dispatcher.now()):
+            self._send([channel], message, self.own_limit)
 
     async def _share_end(self, active: ActiveJob) -> None:
         with suppress(TimeoutError):
@@ -77,23 +94,23 @@
             self._send_own(active)
 
     def _send_own(self, active: ActiveJob) -> None:
-        self._send(
-            JobLeft(
-                active.job.job_id,
-                self.node.hello.incarnation,
-                next(self.numbers),
-                bool(active.placed),
-            )
+        message = JobLeft(
+            active.job.job_id,
+            self.node.hello.incarnation,
+            next(self.numbers),
+            bool(active.placed),
         )
+        self.sent.record(message.job_id, message, self.dispatcher.now())
+        self._send(self.node.connected('front'), message, self.own_limit)
 
-    def _send(self, message: JobLeft, source: Channel | None = None) -> None:
-        fronts = [
-            front
-            for front in self.node.connected('front')
-            if front is not source and front.peer.job_notices
-        ]
-        if not self.limit.allows(len(fronts), self.dispatcher.now()):
-            self.dispatcher.counts['notices_dropped'] += 1
-            return
-        for front in fronts:
-            front.notify(message)
+    def _send(
+        self, channels: Iterable[Channel], message: JobLeft, limit: RateLimit
+    ) -> None:
+        now = self.dispatcher.now()
+        for front in channels:
+            if not front.peer.job_notices:
+                continue
+            if limit.allows(1, now):
+                front.notify(message)
+            else:
+                self.dispatcher.counts['notices_dropped'] += 1
--- a/src/limpetlanding/runs/tests/test_left_jobs.py
+++ b/src/limpetlanding/runs/tests/test_left_jobs.py
@@ -4,11 +4,12 @@
 from types import SimpleNamespace
 
 from limpetlanding.runs.left_jobs import MAX_NOTICES_AT_ONCE, LeftJobs
-from limpetlanding.runs.registry import JobRegistry
+from limpetlanding.runs.registry import MAX_RESUBMISSION_WAIT_S, JobRegistry
 from limpetlanding.wire.run_messages import JobLeft
 
 JOB = '5c0e7a21d94b36f8'
 OWN = 'front-0/1'
+MANY_FRONTS = 34
 
 
 class Front:
@@ -74,6 +75,28 @@
         assert not front.messages
 
 
+class TestNextLink:
+    """Guards against a message that is lost with the link to a front."""
+
+    async def test_front_receives_the_last_message_of_each_job_again(self):
+        jobs, front = left_jobs(), Front()
+        active = active_job(['a'])
+        jobs.share(active)
+        jobs.send_known(front)
+        active.placed.clear()
+        active.no_runs_left.set()
+        await asyncio.sleep(0.01)
+        jobs.send_known(front)
+        assert [x.has_runs for x in front.messages] == [True, False]
+
+    async def test_old_messages_are_not_sent_again(self):
+        jobs, front = left_jobs(), Front()
+        jobs.share(active_job([]))
+        await asyncio.sleep(MAX_RESUBMISSION_WAIT_S + 0.1)
+        jobs.send_known(front)
+        assert not front.messages
+
+
 class TestPassingOn:
     """Guards against messages without end, and processor time without limit."""
 
@@ -92,6 +115,25 @@
         assert not other.messages
         assert not jobs.dispatcher.registry.may_have_run(JOB, now=0)
 
+    async def test_messages_of_others_leave_room_for_own_ones(self):
+        # Guards against a series of resets that silences each front.
+        fronts = [Front() for _ in range(MANY_FRONTS)]
+        jobs = left_jobs(*fronts)
+        for number in range(MANY_FRONTS):
+            jobs.handle(fronts[number], message(front=f'front-{number}/1'))
+        for front in fronts:
+            front.messages.clear()
+        jobs.share(active_job([]))
+        assert all(len(front.messages) == 1 for front in fronts)
+
+    async def test_some_of_more_fronts_than_the_limit_are_told(self):
+        fronts = [Front() for _ in range(MAX_NOTICES_AT_ONCE + 50)]
+        jobs = left_jobs(*fronts)
+        jobs.share(active_job([]))
+        told = [front for front in fronts if front.messages]
+        assert len(told) == MAX_NOTICES_AT_ONCE
+        assert jobs.dispatcher.counts['notices_dropped'] == 50
+
     async def test_messages_beyond_the_limit_are_dropped_and_counted(self):
         front = Front()
         jobs = left_jobs(front)
