--- a/src/limpetlanding/platform/tests/test_job_rules.py
+++ b/src/limpetlanding/platform/tests/test_job_rules.py
@@ -196,10 +196,19 @@
             partial(setattr, faults, 'silent', False),
         )
 
-    @step(job=jobs, ends=st.tuples(fronts, fronts), delay_s=repeats_s)
-    def cancel_and_send_again(self, job, ends, delay_s):
+    @step(
+        target=jobs,
+        front=fronts,
+        ends=st.tuples(fronts, fronts),
+        work_s=works_s,
+        delay_s=st.sampled_from([3, 4, 6]),
+    )
+    def cancel_and_send_again(self, front, ends, work_s, delay_s):
+        job = self.run.submit((2, 2), work_s, front)
+        self.run.wait(0.3)
         self.run.cancel(job, ends[0])
         self.run.repeat(job, ends[1], delay_s)
+        return job
 
     @step(
         target=jobs,
