--- a/src/limpetlanding/platform/tests/test_job_rules.py
+++ b/src/limpetlanding/platform/tests/test_job_rules.py
@@ -27,8 +27,8 @@
     broken_rules,
 )
 
-SEEDS = range(int(os.environ.get('RANDOM_SEEDS', '1')))
-EXAMPLES = int(os.environ.get('RANDOM_EXAMPLES', '25'))
+SEEDS = range(int(os.environ.get('RANDOM_SEEDS', '2')))
+EXAMPLES = int(os.environ.get('RANDOM_EXAMPLES', '14'))
 STEPS = 20
 # Time after which all clients have given up and all runs have ended.
 CALM_S = 10
