Wait for a late answer of an idle executor without further calls

The watch of an idle executor waited until two seconds after its call was opened.

Fix: while a call is open, the wait begins anew.

--- a/src/limpetlanding/runs/connection_watch.py
+++ b/src/limpetlanding/runs/connection_watch.py
@@ -87,9 +87,12 @@
         wake : asyncio.Event
             Event that is waited for; it is cleared first.
         """
-        longest_s = WATCH_MS / 1000 if self.is_open else MIN_INTERVAL_S
-        until = self.opened_at + longest_s
-        if not self.is_open and self.loop.time() >= until:
+        now = self.loop.time()
+        until = self.opened_at + MIN_INTERVAL_S
+        if self.is_open:
+            # Its answer may be late.
+            until = now + WATCH_MS / 1000
+        elif now >= until:
             return
         wake.clear()
         with suppress(TimeoutError):
--- a/src/limpetlanding/runs/tests/test_connection_watch.py
+++ b/src/limpetlanding/runs/tests/test_connection_watch.py
@@ -5,7 +5,11 @@
 
 import pytest
 
-from limpetlanding.runs.connection_watch import ConnectionWatch
+from limpetlanding.runs.connection_watch import (
+    WATCH_MS,
+    WATCH_TIMEOUT_S,
+    ConnectionWatch,
+)
 from limpetlanding.runs.ports import (
     CallTarget,
     ExecutorDown,
@@ -78,6 +82,14 @@
             await asyncio.sleep(2.3)
             assert reports == ['end False'] * 2
 
+    async def test_late_answer_is_waited_for_without_further_calls(self):
+        # Guards against a loop without pauses until a late answer arrives.
+        async with opened() as (watch, _, _reports):
+            await asyncio.sleep(WATCH_MS / 1000 + WATCH_TIMEOUT_S / 2)
+            begin = watch.loop.time()
+            await watch.wait(asyncio.Event())
+            assert watch.loop.time() - begin >= WATCH_TIMEOUT_S / 2
+
     async def test_rejected_token_is_no_break(self):
         async with opened() as (_, port, reports):
             port.answers[0].set_exception(FenceRejected('old', step='look'))
